Tell of jobs after a reload only with their progress

Ruled out: a second holder (both runs had fence 2), lost progress (job_ended was committed at 8.50 s). Change: listeners are told after all rows are in; a holder remembers the jobs that it ended until the directory shows their end.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -88,6 +88,7 @@
     bool m_passPlanned = false;
     std::map<std::string, Link> m_links;
     std::set<std::string> m_writing; ///< jobs in the transaction under way
+    std::set<std::string> m_forgotten; ///< ended jobs whose end the directory does not show yet
     bool m_begun = false;
     bool m_ended = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< false once destroyed
--- a/src/libfleet/job_directory.cpp
+++ b/src/libfleet/job_directory.cpp
@@ -2,6 +2,8 @@
 #include <damaskworks/log.h>
 #include <damaskworks/pool_state.h>
 
+#include <utility>
+
 namespace damask::fleet {
 namespace {
 
@@ -93,8 +95,17 @@
 {
     m_records.clear();
     m_pending.clear();
+    // Rows of one job come in any order, so listeners are told once all are in.
+    const auto listener = std::exchange(m_listener, nullptr);
     for (const auto& row : rows)
         apply(row);
+    m_listener = listener;
+    if (!m_listener)
+        return;
+    for (const auto& [id, record] : m_records) {
+        if (record.isAccepted())
+            m_listener(id, record);
+    }
 }
 
 const JobRecord* JobDirectory::find(const std::string& id) const
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -86,6 +86,8 @@
 {
     if (!m_begun || record.pool != m_state.pool || !record.isAccepted())
         return;
+    if (m_forgotten.contains(id))
+        return;
     if (!m_state.jobs.contains(id) && !isFinal(record.state)) {
         auto job = decodeJob(record.text);
         if (!job)
@@ -394,8 +396,16 @@
             running.insert(run.job);
     }
     std::erase_if(m_state.jobs, [&](const auto& entry) {
-        return isFinal(entry.second.state) && !entry.second.dirty && !running.contains(entry.first)
+        const bool over = isFinal(entry.second.state) && !entry.second.dirty && !running.contains(entry.first)
             && !m_writing.contains(entry.first);
+        if (over)
+            m_forgotten.insert(entry.first);
+        return over;
+    });
+    // The directory lags; a job counts as unknown only once its end is there.
+    std::erase_if(m_forgotten, [&](const std::string& id) {
+        const auto* record = m_context.directory.find(id);
+        return !record || isFinal(record->state);
     });
 }
 
