Carry out maintenance waves through one coordinator of machines

Ruled out: each pool's holder ordering its own machines: a machine's fencing token rises over all callers, so two holders would have taken turns. Change: one node holds the lease '@machines', records each machine's task before it acts, lets the pool's holder empty the machine (long-running tasks within their step's budget) and orders it down. Holders publish their load.

--- a/src/include/damaskworks/endpoint_control.h
+++ b/src/include/damaskworks/endpoint_control.h
@@ -16,6 +16,7 @@
 /// A VM as its own registration describes it.
 struct VmEntry {
     std::string id; ///< one life of a machine
+    std::string machine; ///< that the VM runs on
     std::string pool;
     Address address;
     std::string dataCentre;
--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -6,6 +6,7 @@
 #include <damaskworks/caller_service.h>
 #include <damaskworks/job_directory.h>
 #include <damaskworks/loop.h>
+#include <damaskworks/machine_coordinator.h>
 #include <damaskworks/metrics.h>
 #include <damaskworks/pool_election.h>
 #include <damaskworks/pool_holder.h>
@@ -48,6 +49,8 @@
     void applyVmRow(const TableRow& row);
     void applyVmReset(const std::vector<TableRow>& rows);
     void removeVm(const std::string& id);
+    void applyWave(const TableRow& row);
+    void applyControl();
     void onLeaseTaken(const std::string& pool, const TakenLease& lease);
     void beginHolders();
     void dropEndedHolders();
@@ -72,6 +75,10 @@
     JobDirectory m_directory;
     std::shared_ptr<const FleetConfig> m_config;
     std::map<std::string, VmEntry> m_vms;
+    std::map<std::int64_t, WaveRequest> m_waves;
+    FleetRows m_fleetRows;
+    std::unique_ptr<MachineCoordinator> m_coordinator;
+    bool m_coordinatorEnded = false;
     std::map<std::string, std::unique_ptr<PoolHolder>> m_holders;
     std::vector<std::string> m_endedHolders;
     CallerService m_callers;
--- /dev/null
+++ b/src/include/damaskworks/fleet_plan.h
@@ -0,0 +1,100 @@
+/// \file
+/// Decisions on machines: which go into maintenance and which change their pool. One node, the
+/// machine coordinator, takes them for the whole fleet; pools' holders empty the machines.
+#pragma once
+
+#include <damaskworks/clock.h>
+#include <damaskworks/deployment.h>
+#include <damaskworks/endpoint_control.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damask::fleet {
+
+/// What a pool's holder tells the coordinator.
+struct PoolLoad {
+    std::int64_t waitingCpu = 0; ///< thousandths of a core that ready tasks without a place need
+    std::int64_t waitingWork = 0; ///< their work by estimate, core-milliseconds
+    std::int64_t usedCpu = 0; ///< of all VMs
+    std::map<std::string, int> runs; ///< runs by machine, without entries of zero
+    std::set<std::string> empty; ///< machines that are emptied: nothing runs there and nothing will
+    bool operator==(const PoolLoad&) const = default;
+};
+
+std::string encodeLoad(const PoolLoad& load);
+std::optional<PoolLoad> decodeLoad(std::string_view text);
+
+/// What is done with a machine.
+enum class MachineAction { Maintain, Move };
+
+inline constexpr NameTable<MachineAction, 2> machineActionNames { {
+    { MachineAction::Maintain, "maintain" },
+    { MachineAction::Move, "move" },
+} };
+
+/// How far a machine's task is.
+enum class MachineTaskState {
+    Emptying, ///< its pool's holder ends or moves what runs there
+    Ordered, ///< the platform has accepted the order
+};
+
+inline constexpr NameTable<MachineTaskState, 2> machineTaskStateNames { {
+    { MachineTaskState::Emptying, "emptying" },
+    { MachineTaskState::Ordered, "ordered" },
+} };
+
+/// A task of the coordinator, durable before anything is done.
+struct MachineTask {
+    std::string machine;
+    MachineAction action = MachineAction::Maintain;
+    std::int64_t wave = 0; ///< for Maintain
+    std::string toPool; ///< for Move
+    std::string oldVm; ///< that ran on the machine when the task began; empty: none
+    MachineTaskState state = MachineTaskState::Emptying;
+    bool operator==(const MachineTask&) const = default;
+};
+
+std::string encodeTask(const MachineTask& task);
+std::optional<MachineTask> decodeTask(std::string_view text);
+
+/// A wave and how far it is.
+struct WaveState {
+    WaveRequest request;
+    TimePoint seenAt {};
+    std::set<std::string> done; ///< machines whose maintenance was carried out
+};
+
+/// What the coordinator knows.
+struct FleetState {
+    FleetConfig config;
+    std::map<std::string, Machine> machines; ///< by id
+    std::map<std::string, PoolLoad> loads; ///< by pool
+    std::map<std::string, MachineTask> tasks; ///< by machine
+    std::map<std::int64_t, WaveState> waves;
+};
+
+/// Limits of the coordinator.
+struct FleetLimits {
+    /// Time for one machine: emptying it and its maintenance.
+    milliseconds perMachine { 6000 };
+    /// Part of a pool's machines that may be emptied for maintenance at once.
+    double poolShare = 0.34;
+    /// A wave is done this long before it is due, so that a late machine does not make it late.
+    milliseconds waveReserve { 3000 };
+};
+
+/// Machines of the waves whose maintenance begins now.
+std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now);
+/// Whether the platform may be told to carry out the task.
+bool mayOrder(const FleetState& state, const MachineTask& task);
+/// Whether the machine is back: it runs another VM than before, or its pool's VMs are off.
+bool isBack(const FleetState& state, const MachineTask& task);
+/// Whether every machine of the wave that still exists had its maintenance.
+bool isComplete(const FleetState& state, const WaveState& wave);
+
+} // namespace damask::fleet
--- a/src/include/damaskworks/job_directory.h
+++ b/src/include/damaskworks/job_directory.h
@@ -19,6 +19,11 @@
 /// Table that holds the leases of pools.
 inline constexpr std::string_view controlTable = "control";
 
+/// Row of a pool's part of the control table that holds its load.
+inline constexpr std::string_view loadKey = "load";
+/// Name that stands for all machines where a pool's name is expected.
+inline constexpr std::string_view coordinatorPool = "@machines";
+
 namespace rows {
 
 /// Part that holds a job's own rows. A queue has several, since a part takes only so many
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <damaskworks/adapter.h>
+#include <damaskworks/fleet_plan.h>
 #include <damaskworks/job_directory.h>
 #include <damaskworks/pool_ledger.h>
 #include <damaskworks/pool_state.h>
@@ -43,6 +44,8 @@
     void applyJob(const std::string& id, const JobRecord& record);
     void listVm(const VmEntry& vm);
     void unlistVm(const std::string& id);
+    /// Machines that are to be emptied.
+    void setEvacuations(const std::set<std::string>& machines);
     /// Whether the registry has been followed without a gap for long enough to name every VM.
     void setRegistryComplete(bool complete);
     /// Stops giving orders and gives the lease back.
@@ -70,12 +73,13 @@
     void sendPaces(const std::string& name, TimePoint now);
     void noteOutcome(const std::string& vm, OrderOutcome outcome);
     VmTarget target(const VmState& vm) const;
-    ProgressBatch collect();
-    void onCommitted(const ProgressBatch& batch);
-    void onFailed(const ProgressBatch& batch);
+    LedgerBatch collect();
+    void onCommitted(const LedgerBatch& batch);
+    void onFailed(const LedgerBatch& batch);
     /// Forgets jobs whose end is durable and of which nothing runs.
     void forgetEnded();
     void markDirtyIfNeeded();
+    void publishLoad(TimePoint now);
 
     HolderContext m_context;
     PoolState m_state;
@@ -89,6 +93,10 @@
     std::map<std::string, Link> m_links;
     std::set<std::string> m_writing; ///< jobs in the transaction under way
     std::set<std::string> m_forgotten; ///< ended jobs whose end the directory does not show yet
+    std::set<std::string> m_evacuations;
+    PoolLoad m_load; ///< as last written
+    std::optional<PoolLoad> m_newLoad; ///< to be written
+    TimePoint m_loadAt {};
     bool m_begun = false;
     bool m_ended = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< false once destroyed
--- a/src/include/damaskworks/pool_ledger.h
+++ b/src/include/damaskworks/pool_ledger.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,10 @@
     std::uint64_t number = 0;
 };
 
-/// Progress rows that are written together, and the ends that they cover.
-struct ProgressBatch {
-    std::map<std::string, std::string> rows; ///< text by job
+/// Rows that are written together, and the ends that they cover.
+struct LedgerBatch {
+    std::vector<TableWrite> writes;
+    std::set<std::string> jobs; ///< whose progress is among the rows
     /// Ends of each VM that are contained in the rows written up to this batch.
     std::map<std::string, CoveredEnds> ends;
 };
@@ -43,10 +45,10 @@
 public:
     struct Events {
         /// Gives what is to be written now; empty if nothing is.
-        std::function<ProgressBatch()> collect;
-        std::function<void(const ProgressBatch&)> committed;
+        std::function<LedgerBatch()> collect;
+        std::function<void(const LedgerBatch&)> committed;
         /// The rows were not written, or it is not known whether they were.
-        std::function<void(const ProgressBatch&)> failed;
+        std::function<void(const LedgerBatch&)> failed;
         /// The lease was renewed: orders may be given again.
         std::function<void()> renewed;
         /// Another node holds the lease.
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -2,6 +2,7 @@
 /// Which waiting task starts next, and on which VM.
 #pragma once
 
+#include <damaskworks/fleet_plan.h>
 #include <damaskworks/pool_state.h>
 
 namespace damask::fleet {
@@ -13,6 +14,11 @@
 /// Earliest occurrence that is not yet due; nothing if there is none.
 std::optional<WallTime> nextDue(const PoolState& state);
 
+/// Stops tasks on VMs that are emptied or leave, long-running ones within their step's budget.
+void planEvacuations(PoolState& state, TimePoint now);
+/// What the coordinator of machines needs to know of the pool.
+PoolLoad loadOf(const PoolState& state, TimePoint now);
+
 /// A change of the share of its processors that a task may use.
 struct PaceAction {
     std::string vm;
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -78,6 +78,7 @@
     bool read = false; ///< its lists were read with this holder's token
     bool silent = false; ///< the last call was not answered
     bool evacuating = false; ///< is being emptied for maintenance or a move
+    TimePoint evacuatingSince {};
     std::int64_t born = 0;
     milliseconds clock { 0 }; ///< VM's clock when clockAt was taken
     TimePoint clockAt {};
@@ -106,6 +107,7 @@
     milliseconds longestAside { 16000 };
     double stallFactor = 4; ///< a task without progress for this many estimates is stopped
     milliseconds shortestStall { 4000 };
+    milliseconds longestEvacuation { 5000 }; ///< most tasks end within this; others are stopped
     milliseconds farPenaltyWait { 400 }; ///< wait for a place in the preferred rack
 };
 
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -58,7 +58,7 @@
           { m_adapter.codec->vmTable(), false, slowGap }, seed + 4)
     , m_election(loop.base(), *m_adapter.table, clock, m_settings.node, m_session, seed + 5, m_leaseLimits,
           { [this] { return !m_stopping && isReady() && hasContact(electionContact) && m_vmRows.isLoaded(); },
-              [this] { return m_holders.size(); },
+              [this] { return m_holders.size() + (m_coordinator ? 1 : 0); },
               [this](const std::string& pool, const TakenLease& lease) { onLeaseTaken(pool, lease); } })
     , m_callerServer(loop.base(), {},
           [this](std::shared_ptr<HttpExchange> exchange) { m_callers.handle(std::move(exchange)); })
@@ -110,8 +110,16 @@
                 applyOperatorRow(row);
         },
         [this](const TableRow& row) { applyOperatorRow(row); }, [] {});
-    m_controlRows.listen([this](const std::vector<TableRow>& rows) { m_election.reset(rows); },
-        [this](const TableRow& row) { m_election.applyRow(row); }, [this] { m_election.check(); });
+    m_controlRows.listen(
+        [this](const std::vector<TableRow>& rows) {
+            m_election.reset(rows);
+            m_fleetRows.reset(rows);
+        },
+        [this](const TableRow& row) {
+            m_election.applyRow(row);
+            m_fleetRows.apply(row);
+        },
+        [this] { applyControl(); });
     m_directory.listen([this](const std::string& id, const JobRecord& record) {
         const auto holder = m_holders.find(record.pool);
         if (holder != m_holders.end())
@@ -135,6 +143,29 @@
         return;
     if (m_adapter.codec->isConfigKey(row.key))
         applyConfig(row);
+    else if (m_adapter.codec->isWaveKey(row.key))
+        applyWave(row);
+}
+
+void FleetNode::applyWave(const TableRow& row)
+{
+    auto wave = m_adapter.codec->decodeWave(row);
+    if (!wave) {
+        logEvent(
+            LogLevel::Error, "wave_unreadable", { { "key", row.key }, { "detail", describe(wave.error()) } });
+        return;
+    }
+    m_waves[wave->number] = *wave;
+    if (m_coordinator)
+        m_coordinator->applyWave(*wave);
+}
+
+void FleetNode::applyControl()
+{
+    for (auto& [pool, holder] : m_holders)
+        holder->setEvacuations(m_fleetRows.emptying());
+    beginHolders();
+    m_election.check();
 }
 
 void FleetNode::applyConfig(const TableRow& row)
@@ -151,12 +182,14 @@
         { { "version", std::to_string(m_config->version) },
             { "queues", std::to_string(m_config->queues.size()) } });
     m_callers.setConfig(m_config);
-    std::set<std::string> pools;
+    std::set<std::string> pools { std::string(coordinatorPool) };
     for (const auto& queue : m_config->queues)
         pools.insert(queue.pool);
     m_election.setPools(std::move(pools));
     for (auto& [pool, holder] : m_holders)
         holder->applyConfig(*m_config);
+    if (m_coordinator)
+        m_coordinator->applyConfig(*m_config);
 }
 
 void FleetNode::removeVm(const std::string& id)
@@ -184,6 +217,8 @@
     if (known != m_vms.end() && known->second.pool != vm->pool)
         removeVm(row.key);
     m_vms.insert_or_assign(row.key, *vm);
+    if (m_coordinator)
+        m_coordinator->applyVm(*vm);
     const auto holder = m_holders.find(vm->pool);
     if (holder != m_holders.end())
         holder->second->listVm(*vm);
@@ -208,6 +243,14 @@
 
 void FleetNode::onLeaseTaken(const std::string& pool, const TakenLease& lease)
 {
+    if (pool == coordinatorPool) {
+        CoordinatorContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.machines,
+            *m_adapter.codec, m_fleetRows };
+        m_coordinator = std::make_unique<MachineCoordinator>(
+            context, lease, m_leaseLimits, [this] { m_coordinatorEnded = true; });
+        m_controlRows.setGap(promptGap);
+        return beginHolders();
+    }
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
         m_directory };
     m_holders[pool] = std::make_unique<PoolHolder>(context, pool, lease, m_leaseLimits, m_settings.maxLease,
@@ -223,9 +266,13 @@
     for (auto& [pool, holder] : m_holders) {
         const bool caughtUp
             = m_jobRows.version() >= holder->takenAt() && m_vmRows.version() >= holder->takenAt();
-        if (!holder->hasBegun() && caughtUp)
-            holder->begin(*m_config, m_vms);
+        if (holder->hasBegun() || !caughtUp || m_controlRows.version() < holder->takenAt())
+            continue;
+        holder->setEvacuations(m_fleetRows.emptying());
+        holder->begin(*m_config, m_vms);
     }
+    if (m_coordinator && !m_coordinator->hasBegun() && m_controlRows.version() >= m_coordinator->takenAt())
+        m_coordinator->begin(*m_config, m_waves);
 }
 
 void FleetNode::dropEndedHolders()
@@ -233,6 +280,11 @@
     for (const auto& pool : m_endedHolders)
         m_holders.erase(pool);
     m_endedHolders.clear();
+    if (m_coordinatorEnded) {
+        m_coordinator.reset();
+        m_coordinatorEnded = false;
+        m_controlRows.setGap(slowGap);
+    }
     if (m_holders.empty())
         m_jobRows.setGap(relaxedGap);
 }
@@ -297,6 +349,8 @@
             { "requests", std::to_string(m_callers.active()) } });
     for (auto& [pool, holder] : m_holders)
         holder->release();
+    if (m_coordinator)
+        m_coordinator->release();
     m_callerServer.startDraining();
     m_stopTimer.startPeriodic(stopCheck);
 }
@@ -311,7 +365,8 @@
         if (m_callers.active() == 0)
             m_callerServer.closeIdle();
     }
-    const bool idle = m_callers.active() == 0 && !m_callerServer.isSending() && m_holders.empty();
+    const bool idle
+        = m_callers.active() == 0 && !m_callerServer.isSending() && m_holders.empty() && !m_coordinator;
     if (!(outOfRotation && idle) && elapsed < m_settings.stopGrace - exitMargin)
         return;
     logEvent(LogLevel::Info, "stopped", { { "requests_cut", std::to_string(m_callers.active()) } });
--- /dev/null
+++ b/src/libfleet/fleet_rows.cpp
@@ -0,0 +1,71 @@
+#include <damaskworks/log.h>
+#include <damaskworks/machine_coordinator.h>
+
+#include "fleet_rows_pvt.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace damask::fleet {
+
+using nlohmann::json;
+
+namespace rows {
+
+std::string machineKey(std::string_view machine) { return std::string(machinePrefix) + std::string(machine); }
+std::string waveKey(std::int64_t wave) { return std::string(wavePrefix) + std::to_string(wave); }
+
+} // namespace rows
+
+std::string encodeWaveDone(const std::set<std::string>& done) { return json({ { "done", done } }).dump(); }
+
+namespace {
+
+std::set<std::string> decodeWaveDone(std::string_view text)
+{
+    const auto value = json::parse(text, nullptr, false);
+    if (!value.is_object() || !value.contains("done"))
+        return {};
+    return value["done"].get<std::set<std::string>>();
+}
+
+} // namespace
+
+void FleetRows::reset(const std::vector<TableRow>& rows)
+{
+    *this = FleetRows();
+    for (const auto& row : rows)
+        apply(row);
+}
+
+void FleetRows::apply(const TableRow& row)
+{
+    const auto poolPart = rows::poolPart("");
+    if (!row.part.starts_with(poolPart))
+        return;
+    const auto pool = row.part.substr(poolPart.size());
+    if (row.key == loadKey) {
+        if (auto load = decodeLoad(row.value); load && !row.deleted)
+            m_loads[pool] = std::move(*load);
+        return;
+    }
+    if (row.key.starts_with(machinePrefix)) {
+        const auto machine = row.key.substr(machinePrefix.size());
+        m_tasks.erase(machine);
+        m_emptying.erase(machine);
+        const auto task = row.deleted ? std::nullopt : decodeTask(row.value);
+        if (!task)
+            return;
+        m_tasks.emplace(machine, *task);
+        m_emptying.insert(machine);
+        return;
+    }
+    if (row.key.starts_with(wavePrefix)) {
+        std::int64_t wave = 0;
+        const auto digits = std::string_view(row.key).substr(wavePrefix.size());
+        std::from_chars(digits.data(), digits.data() + digits.size(), wave);
+        m_waves[wave] = decodeWaveDone(row.value);
+    }
+}
+
+} // namespace damask::fleet
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds longestAcknowledgementWait { 300 };
 /// Pause after a call without an answer, and between calls that return at once.
 constexpr milliseconds holdPause { 200 };
+/// Interval at which the pool's load is written while it changes.
+constexpr milliseconds loadInterval { 400 };
+/// Entries of a transaction besides the progress of jobs: the lease's condition and the load.
+constexpr std::size_t reservedEntries = 2;
 /// Covers the old holder's last order, rounding and the drift of the VMs' clocks.
 constexpr milliseconds uncertaintyMargin { 300 };
 
@@ -31,8 +35,8 @@
     , m_maxVmLease(maxVmLease)
     , m_onEnd(std::move(onEnd))
     , m_ledger(context.base, context.table, context.clock, context.metrics, pool, lease, limits,
-          { [this] { return collect(); }, [this](const ProgressBatch& batch) { onCommitted(batch); },
-              [this](const ProgressBatch& batch) { onFailed(batch); }, [this] { wake(passDelay); },
+          { [this] { return collect(); }, [this](const LedgerBatch& batch) { onCommitted(batch); },
+              [this](const LedgerBatch& batch) { onFailed(batch); }, [this] { wake(passDelay); },
               [this] {
                   m_ended = true;
                   m_onEnd();
@@ -60,10 +64,8 @@
         m_state.uncertainUntil = now + std::chrono::duration_cast<milliseconds>(span) + uncertaintyMargin;
     }
     applyConfig(config);
-    for (const auto& [id, vm] : vms) {
-        if (vm.pool == m_state.pool)
-            fleet::listVm(m_state, vm);
-    }
+    for (const auto& [id, vm] : vms)
+        listVm(vm);
     for (const auto& [id, record] : m_context.directory.records())
         applyJob(id, record);
     logEvent(LogLevel::Info, "pool_begun",
@@ -106,6 +108,17 @@
     if (vm.pool != m_state.pool)
         return unlistVm(vm.id);
     fleet::listVm(m_state, vm);
+    m_state.vms.at(vm.id).evacuating = m_evacuations.contains(vm.machine);
+    wake(passDelay);
+}
+
+void PoolHolder::setEvacuations(const std::set<std::string>& machines)
+{
+    if (m_evacuations == machines)
+        return;
+    m_evacuations = machines;
+    for (auto& [id, vm] : m_state.vms)
+        vm.evacuating = m_evacuations.contains(vm.entry.machine);
     wake(passDelay);
 }
 
@@ -142,12 +155,14 @@
         return;
     const auto now = m_context.clock.now();
     expireLeases(m_state, now);
+    planEvacuations(m_state, now);
     sendStops(now);
     sendStarts(now);
     sendHolds(now);
     forgetEnded();
     markDirtyIfNeeded();
-    if (!m_state.jobs.empty())
+    publishLoad(now);
+    if (!m_state.jobs.empty() || !m_evacuations.empty())
         wake(idlePass);
 }
 
@@ -334,18 +349,37 @@
         m_ledger.markDirty();
 }
 
-ProgressBatch PoolHolder::collect()
+void PoolHolder::publishLoad(TimePoint now)
 {
-    ProgressBatch batch;
+    auto load = loadOf(m_state, now);
+    if (load == m_load)
+        return;
+    const bool urgent = load.empty != m_load.empty;
+    if (!urgent && now - m_loadAt < loadInterval)
+        return;
+    m_newLoad = std::move(load);
+    m_loadAt = now;
+    m_ledger.markDirty();
+}
+
+LedgerBatch PoolHolder::collect()
+{
+    LedgerBatch batch;
+    if (m_newLoad) {
+        m_load = *m_newLoad;
+        m_newLoad.reset();
+        batch.writes.push_back({ std::string(controlTable), std::string(loadKey), encodeLoad(m_load) });
+    }
     bool all = true;
     for (auto& [id, job] : m_state.jobs) {
         if (!job.dirty)
             continue;
-        if (batch.rows.size() + 1 >= maxTransactionEntries) {
+        if (batch.writes.size() + reservedEntries >= maxTransactionEntries) {
             all = false;
             break;
         }
-        batch.rows.emplace(id, encodeProgress(job));
+        batch.writes.push_back({ std::string(jobTable), rows::progressKey(id), encodeProgress(job) });
+        batch.jobs.insert(id);
         m_writing.insert(id);
         job.dirty = false;
     }
@@ -359,7 +393,7 @@
     return batch;
 }
 
-void PoolHolder::onCommitted(const ProgressBatch& batch)
+void PoolHolder::onCommitted(const LedgerBatch& batch)
 {
     m_writing.clear();
     for (const auto& [name, ends] : batch.ends) {
@@ -367,21 +401,22 @@
         if (found != m_state.vms.end() && found->second.born == ends.born)
             found->second.acknowledged = std::max(found->second.acknowledged, ends.number);
     }
-    for (const auto& [id, text] : batch.rows) {
-        const auto state = stateOf(text);
-        if (isFinal(state))
+    for (const auto& id : batch.jobs) {
+        const auto found = m_state.jobs.find(id);
+        if (found != m_state.jobs.end() && isFinal(found->second.state) && !found->second.dirty)
             logEvent(LogLevel::Info, "job_ended",
                 { { "job", id }, { "pool", m_state.pool },
-                    { "state", std::string(nameOf(jobStateNames, state)) } });
+                    { "state", std::string(nameOf(jobStateNames, found->second.state)) } });
     }
     markDirtyIfNeeded();
     wake(microseconds(0));
 }
 
-void PoolHolder::onFailed(const ProgressBatch& batch)
+void PoolHolder::onFailed(const LedgerBatch& batch)
 {
     m_writing.clear();
-    for (const auto& [id, text] : batch.rows) {
+    m_load = PoolLoad {}; // written again
+    for (const auto& id : batch.jobs) {
         auto found = m_state.jobs.find(id);
         if (found != m_state.jobs.end())
             found->second.dirty = true;
--- a/src/libfleet/pool_ledger.cpp
+++ b/src/libfleet/pool_ledger.cpp
@@ -138,17 +138,15 @@
 {
     auto batch = m_events.collect();
     m_dirty = false;
-    if (batch.rows.empty() && batch.ends.empty())
+    if (batch.writes.empty() && batch.ends.empty())
         return pump();
-    if (batch.rows.empty()) { // ends that changed no job need no row
+    if (batch.writes.empty()) { // ends that changed no job need no row
         m_events.committed(batch);
         return pump();
     }
     TableTransaction transaction { rows::poolPart(m_pool),
-        { { std::string(controlTable), std::string(leaseKey), m_version } }, {} };
-    for (const auto& [job, text] : batch.rows)
-        transaction.writes.push_back({ std::string(jobTable), rows::progressKey(job), text });
-    m_metrics.count("ledger_rows_total{pool=\"" + m_pool + "\"}", batch.rows.size());
+        { { std::string(controlTable), std::string(leaseKey), m_version } }, batch.writes };
+    m_metrics.count("ledger_rows_total{pool=\"" + m_pool + "\"}", batch.writes.size());
     send(Call::Progress, std::move(transaction),
         [this, batch = std::move(batch)](TableResult<Version> result) {
             if (result) {
--- /dev/null
+++ b/src/libscheduler/fleet_plan.cpp
@@ -0,0 +1,193 @@
+#include <damaskworks/fleet_plan.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace damask::fleet {
+namespace {
+
+using nlohmann::json;
+
+bool isStandby(const FleetState& state, const std::string& pool)
+{
+    const auto found = state.config.pools.find(pool);
+    return found != state.config.pools.end() && found->second.standby;
+}
+
+int runsOn(const FleetState& state, const Machine& machine)
+{
+    const auto load = state.loads.find(machine.pool);
+    if (load == state.loads.end())
+        return 0;
+    const auto runs = load->second.runs.find(machine.id);
+    return runs == load->second.runs.end() ? 0 : runs->second;
+}
+
+int tasksOf(const FleetState& state, std::int64_t wave)
+{
+    return static_cast<int>(std::count_if(state.tasks.begin(), state.tasks.end(), [&](const auto& entry) {
+        return entry.second.action == MachineAction::Maintain && entry.second.wave == wave;
+    }));
+}
+
+/// Machines of the pool that are away or are being emptied.
+int unavailableIn(const FleetState& state, const std::string& pool)
+{
+    return static_cast<int>(
+        std::count_if(state.machines.begin(), state.machines.end(), [&](const auto& entry) {
+            return entry.second.pool == pool
+                && (entry.second.state != MachineState::Up || state.tasks.contains(entry.first));
+        }));
+}
+
+int sizeOf(const FleetState& state, const std::string& pool)
+{
+    return static_cast<int>(std::count_if(state.machines.begin(), state.machines.end(),
+        [&](const auto& entry) { return entry.second.pool == pool; }));
+}
+
+/// Machines of the pool that may be away at once. A pool with a backlog gives none up while there
+/// is time to wait for a quieter moment.
+int allowedAway(const FleetState& state, const std::string& pool, const FleetLimits& limits, bool pressed)
+{
+    if (isStandby(state, pool))
+        return sizeOf(state, pool);
+    const auto load = state.loads.find(pool);
+    const bool busy = load != state.loads.end() && load->second.waitingCpu > 0;
+    if (busy && !pressed)
+        return 0;
+    return std::max(1, static_cast<int>(std::floor(sizeOf(state, pool) * limits.poolShare)));
+}
+
+std::vector<const Machine*> dueMachines(const FleetState& state, const WaveState& wave)
+{
+    std::vector<const Machine*> due;
+    for (const auto& id : wave.request.machines) {
+        const auto machine = state.machines.find(id);
+        if (machine == state.machines.end() || wave.done.contains(id) || state.tasks.contains(id))
+            continue;
+        if (machine->second.state == MachineState::Up)
+            due.push_back(&machine->second);
+    }
+    // Machines that are off first, then those on which little runs.
+    std::stable_sort(due.begin(), due.end(), [&](const Machine* a, const Machine* b) {
+        return std::pair(!isStandby(state, a->pool), runsOn(state, *a))
+            < std::pair(!isStandby(state, b->pool), runsOn(state, *b));
+    });
+    return due;
+}
+
+/// Whether the pool's part of the wave needs all the time that is left.
+bool isPressed(const FleetState& state, const WaveState& wave, const std::string& pool,
+    const std::vector<const Machine*>& due, const FleetLimits& limits, TimePoint now)
+{
+    const auto left
+        = std::count_if(due.begin(), due.end(), [&](const Machine* m) { return m->pool == pool; });
+    const auto atOnce = std::max(1, static_cast<int>(std::floor(sizeOf(state, pool) * limits.poolShare)));
+    const auto rounds = (left + atOnce - 1) / atOnce;
+    const auto dueAt = wave.seenAt + wave.request.duration - limits.waveReserve;
+    return now + limits.perMachine * rounds >= dueAt;
+}
+
+} // namespace
+
+std::string encodeLoad(const PoolLoad& load)
+{
+    return json({ { "waitingCpu", load.waitingCpu }, { "waitingWork", load.waitingWork },
+                    { "usedCpu", load.usedCpu }, { "runs", load.runs }, { "empty", load.empty } })
+        .dump();
+}
+
+std::optional<PoolLoad> decodeLoad(std::string_view text)
+{
+    const auto value = json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return std::nullopt;
+    try {
+        PoolLoad load;
+        load.waitingCpu = value.at("waitingCpu").get<std::int64_t>();
+        load.waitingWork = value.at("waitingWork").get<std::int64_t>();
+        load.usedCpu = value.at("usedCpu").get<std::int64_t>();
+        load.runs = value.at("runs").get<std::map<std::string, int>>();
+        load.empty = value.at("empty").get<std::set<std::string>>();
+        return load;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encodeTask(const MachineTask& task)
+{
+    return json({ { "machine", task.machine }, { "action", nameOf(machineActionNames, task.action) },
+                    { "wave", task.wave }, { "toPool", task.toPool }, { "oldVm", task.oldVm },
+                    { "state", nameOf(machineTaskStateNames, task.state) } })
+        .dump();
+}
+
+std::optional<MachineTask> decodeTask(std::string_view text)
+{
+    const auto value = json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return std::nullopt;
+    const auto action = valueOf(machineActionNames, value.value("action", ""));
+    const auto state = valueOf(machineTaskStateNames, value.value("state", ""));
+    if (!action || !state)
+        return std::nullopt;
+    return MachineTask { value.value("machine", ""), *action, value.value("wave", std::int64_t { 0 }),
+        value.value("toPool", ""), value.value("oldVm", ""), *state };
+}
+
+std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now)
+{
+    std::vector<MachineTask> begun;
+    FleetState planned = state;
+    for (const auto& [number, wave] : state.waves) {
+        const auto due = dueMachines(planned, wave);
+        int room = wave.request.maxDown - tasksOf(planned, number);
+        for (const auto* machine : due) {
+            if (room <= 0)
+                break;
+            const bool pressed = isPressed(planned, wave, machine->pool, due, limits, now);
+            if (unavailableIn(planned, machine->pool) >= allowedAway(planned, machine->pool, limits, pressed))
+                continue;
+            MachineTask task { machine->id, MachineAction::Maintain, number, "", machine->vm };
+            planned.tasks.emplace(machine->id, task);
+            begun.push_back(std::move(task));
+            --room;
+        }
+    }
+    return begun;
+}
+
+bool mayOrder(const FleetState& state, const MachineTask& task)
+{
+    const auto machine = state.machines.find(task.machine);
+    if (machine == state.machines.end() || task.state != MachineTaskState::Emptying)
+        return false;
+    if (isStandby(state, machine->second.pool))
+        return true;
+    const auto load = state.loads.find(machine->second.pool);
+    return load != state.loads.end() && load->second.empty.contains(task.machine);
+}
+
+bool isBack(const FleetState& state, const MachineTask& task)
+{
+    if (task.state != MachineTaskState::Ordered)
+        return false;
+    const auto machine = state.machines.find(task.machine);
+    if (machine == state.machines.end() || machine->second.state != MachineState::Up)
+        return false;
+    if (task.action == MachineAction::Move && machine->second.pool != task.toPool)
+        return false;
+    return isStandby(state, machine->second.pool)
+        || (!machine->second.vm.empty() && machine->second.vm != task.oldVm);
+}
+
+bool isComplete(const FleetState& state, const WaveState& wave)
+{
+    return std::all_of(wave.request.machines.begin(), wave.request.machines.end(),
+        [&](const std::string& id) { return wave.done.contains(id) || !state.machines.contains(id); });
+}
+
+} // namespace damask::fleet
--- /dev/null
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -0,0 +1,91 @@
+#include <damaskworks/pool_plan.h>
+
+#include "pool_state_pvt.h"
+
+#include <algorithm>
+
+namespace damask::fleet {
+namespace {
+
+/// Whether the task does its work: users of a long-running task are served.
+bool isAtWork(const PoolState& state, const TaskState& task)
+{
+    if (!task.run || task.run->phase != RunPhase::Running || task.run->percent < 100)
+        return false;
+    const auto vm = state.vms.find(task.run->vm);
+    return vm != state.vms.end() && !vm->second.silent;
+}
+
+int unavailableIn(const PoolState& state, const StepState& step)
+{
+    return static_cast<int>(std::count_if(
+        step.tasks.begin(), step.tasks.end(), [&](const TaskState& task) { return !isAtWork(state, task); }));
+}
+
+/// Stops a long-running task if its step can spare one more.
+void moveServingTask(PoolState& state, JobEntry& job, const TaskId& id, TaskState& task, TimePoint now)
+{
+    const auto& step = stepOf(job, id.step);
+    auto& tasks = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    // A task that is not at work is unavailable already.
+    const int others = unavailableIn(state, tasks) - (isAtWork(state, task) ? 0 : 1);
+    if (others < std::max(step.maxUnavailable, 1))
+        markStopping(*task.run, now);
+}
+
+} // namespace
+
+void planEvacuations(PoolState& state, TimePoint now)
+{
+    for (auto& [name, vm] : state.vms) {
+        const bool leaves = vm.evacuating || vm.entry.draining;
+        if (!leaves) {
+            vm.evacuatingSince = TimePoint {};
+            continue;
+        }
+        if (vm.evacuatingSince == TimePoint {})
+            vm.evacuatingSince = now;
+        for (const auto& id : vm.runs) {
+            auto* task = findTask(state, id);
+            auto& job = state.jobs.find(id.job)->second;
+            if (!task || !task->run || task->run->phase != RunPhase::Running || isFinal(job.state))
+                continue;
+            if (stepOf(job, id.step).longRunning)
+                moveServingTask(state, job, id, *task, now);
+            else if (vm.evacuating && now - vm.evacuatingSince > state.limits.longestEvacuation)
+                markStopping(*task->run, now);
+        }
+    }
+}
+
+PoolLoad loadOf(const PoolState& state, TimePoint)
+{
+    PoolLoad load;
+    for (const auto& [name, vm] : state.vms) {
+        load.usedCpu += vm.used.cpu;
+        if (!vm.runs.empty())
+            load.runs[vm.entry.machine] = static_cast<int>(vm.runs.size());
+        if (vm.evacuating && vm.read && vm.runs.empty() && vm.strangers.empty())
+            load.empty.insert(vm.entry.machine);
+    }
+    for (const auto& [id, job] : state.jobs) {
+        if (isFinal(job.state))
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+                const auto& step = stepOf(job, s);
+                if (step.filler || !isStepReady(job, occurrence, s))
+                    continue;
+                for (const auto& task : occurrence.steps[static_cast<std::size_t>(s)].tasks) {
+                    if (task.done || task.run)
+                        continue;
+                    load.waitingCpu += step.need.cpu;
+                    load.waitingWork += step.need.cpu * step.estimate.count() / 1000;
+                }
+            }
+        }
+    }
+    return load;
+}
+
+} // namespace damask::fleet
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -47,7 +47,7 @@
 }
 
 /// One end `done` of a gang's run stands for all members of the run.
-void finishGang(PoolState& state, JobEntry& job, const TaskId& id)
+void finishGang(JobEntry& job, const TaskId& id)
 {
     auto& step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
     TaskId member = id;
@@ -98,7 +98,7 @@
     case EndKind::Done:
         noteSuccess(vm);
         if (step.gang)
-            finishGang(state, job, end.task);
+            finishGang(job, end.task);
         else if (!step.longRunning)
             finishTask(state, job, end.task, *task);
         refreshState(state, job);
