Move machines to the pools that need them

Ruled out: start order (all waiting work of a pool is of one kind), store and start latency (half of the jobs start within 36 ms). Change: planMoves gives a pool with a backlog machines that are off, then idle ones of pools with more than they need; tasks are packed so that machines become idle. Machines that have just come stay 3 s.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -21,6 +21,8 @@
     std::int64_t waitingCpu = 0; ///< thousandths of a core that ready tasks without a place need
     std::int64_t waitingWork = 0; ///< their work by estimate, core-milliseconds
     std::int64_t usedCpu = 0; ///< of all VMs
+    std::int64_t servingCpu = 0; ///< part of usedCpu that long-running tasks have
+    std::int64_t capacityCpu = 0; ///< of the VMs that take work
     std::map<std::string, int> runs; ///< runs by machine, without entries of zero
     std::set<std::string> empty; ///< machines that are emptied: nothing runs there and nothing will
     bool operator==(const PoolLoad&) const = default;
@@ -76,6 +78,7 @@
     std::map<std::string, PoolLoad> loads; ///< by pool
     std::map<std::string, MachineTask> tasks; ///< by machine
     std::map<std::int64_t, WaveState> waves;
+    std::map<std::string, TimePoint> movedAt; ///< by machine, end of its last task
 };
 
 /// Limits of the coordinator.
@@ -86,10 +89,21 @@
     double poolShare = 0.34;
     /// A wave is done this long before it is due, so that a late machine does not make it late.
     milliseconds waveReserve { 3000 };
+    /// Time in which a pool's backlog should be worked off; about the slack of a short job.
+    milliseconds drainTime { 1000 };
+    /// Room kept above what runs, for the next jobs.
+    double headroom = 1.25;
+    /// Machines without work that a pool keeps; its next jobs start there.
+    int idleReserve = 1;
+    /// A machine stays in its pool this long after it came.
+    milliseconds shortestStay { 3000 };
 };
 
 /// Machines of the waves whose maintenance begins now.
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now);
+/// Moves of machines to pools that need them: those that are off first, then machines without work
+/// of pools that have more than they need.
+std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// Whether the platform may be told to carry out the task.
 bool mayOrder(const FleetState& state, const MachineTask& task);
 /// Whether the machine is back: it runs another VM than before, or its pool's VMs are off.
--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -61,15 +61,16 @@
     void applyWave(const WaveRequest& wave);
     /// A VM has registered.
     void applyVm(const VmEntry& vm);
-    /// Rows of other nodes have changed.
-    void applyRows();
+    /// Decides and acts on what is known now.
+    void pass();
     void release();
 
 private:
-    void pass();
+    void applyRows();
     void readMachines(TimePoint now);
     void takeMachines(std::vector<Machine> machines);
     void beginTasks(TimePoint now);
+    void beginTask(MachineTask task);
     void giveOrders(TimePoint now);
     void onOrdered(const std::string& machine, OrderOutcome outcome);
     void finishTasks();
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -80,6 +80,7 @@
     void forgetEnded();
     void markDirtyIfNeeded();
     void publishLoad(TimePoint now);
+    void logLoad(TimePoint now);
 
     HolderContext m_context;
     PoolState m_state;
@@ -97,6 +98,7 @@
     PoolLoad m_load; ///< as last written
     std::optional<PoolLoad> m_newLoad; ///< to be written
     TimePoint m_loadAt {};
+    TimePoint m_loadLoggedAt {};
     bool m_begun = false;
     bool m_ended = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< false once destroyed
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -165,6 +165,8 @@
     for (auto& [pool, holder] : m_holders)
         holder->setEvacuations(m_fleetRows.emptying());
     beginHolders();
+    if (m_coordinator)
+        m_coordinator->pass();
     m_election.check();
 }
 
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -106,7 +106,7 @@
 
 void MachineCoordinator::pass()
 {
-    if (m_ended || !m_ledger.mayOrder())
+    if (!m_begun || m_ended || !m_ledger.mayOrder())
         return;
     const auto now = m_context.clock.now();
     applyRows();
@@ -156,17 +156,25 @@
 
 void MachineCoordinator::beginTasks(TimePoint now)
 {
-    for (auto& task : planMaintenance(m_state, m_limits, now)) {
-        logEvent(LogLevel::Info, "machine_task",
-            { { "machine", task.machine }, { "action", std::string(nameOf(machineActionNames, task.action)) },
-                { "wave", std::to_string(task.wave) }, { "vm", task.oldVm } });
-        m_changedTasks.insert(task.machine);
-        m_state.tasks.emplace(task.machine, std::move(task));
-    }
+    for (auto& task : planMaintenance(m_state, m_limits, now))
+        beginTask(std::move(task));
+    for (auto& task : planMoves(m_state, m_limits, now))
+        beginTask(std::move(task));
     if (!m_changedTasks.empty())
         m_ledger.markDirty();
 }
 
+void MachineCoordinator::beginTask(MachineTask task)
+{
+    logEvent(LogLevel::Info, "machine_task",
+        { { "machine", task.machine }, { "action", std::string(nameOf(machineActionNames, task.action)) },
+            { "wave", std::to_string(task.wave) }, { "to_pool", task.toPool }, { "vm", task.oldVm },
+            { "pool", m_state.machines[task.machine].pool } });
+    m_changedTasks.insert(task.machine);
+    const auto machine = task.machine;
+    m_state.tasks.emplace(machine, std::move(task));
+}
+
 void MachineCoordinator::giveOrders(TimePoint now)
 {
     for (const auto& [id, task] : m_state.tasks) {
@@ -235,6 +243,7 @@
             m_changedWaves.insert(task.wave);
             m_durableWaves.erase(task.wave);
         }
+        m_state.movedAt[task.machine] = m_context.clock.now();
         m_changedTasks.insert(task.machine);
         it = m_state.tasks.erase(it);
         m_ledger.markDirty();
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -20,7 +20,8 @@
 /// Pause after a call without an answer, and between calls that return at once.
 constexpr milliseconds holdPause { 200 };
 /// Interval at which the pool's load is written while it changes.
-constexpr milliseconds loadInterval { 400 };
+constexpr milliseconds loadInterval { 150 };
+constexpr milliseconds loadLogInterval { 1000 };
 /// Entries of a transaction besides the progress of jobs: the lease's condition and the load.
 constexpr std::size_t reservedEntries = 2;
 /// Covers the old holder's last order, rounding and the drift of the VMs' clocks.
@@ -359,9 +360,25 @@
         return;
     m_newLoad = std::move(load);
     m_loadAt = now;
+    logLoad(now);
     m_ledger.markDirty();
 }
 
+void PoolHolder::logLoad(TimePoint now)
+{
+    if (now - m_loadLoggedAt < loadLogInterval)
+        return;
+    m_loadLoggedAt = now;
+    logEvent(LogLevel::Info, "pool_load",
+        { { "pool", m_state.pool }, { "jobs", std::to_string(m_state.jobs.size()) },
+            { "vms", std::to_string(m_state.vms.size()) },
+            { "capacity", std::to_string(m_newLoad->capacityCpu) },
+            { "used", std::to_string(m_newLoad->usedCpu) },
+            { "serving", std::to_string(m_newLoad->servingCpu) },
+            { "waiting", std::to_string(m_newLoad->waitingCpu) },
+            { "waiting_work", std::to_string(m_newLoad->waitingWork) } });
+}
+
 LedgerBatch PoolHolder::collect()
 {
     LedgerBatch batch;
--- /dev/null
+++ b/src/libscheduler/fleet_moves.cpp
@@ -0,0 +1,105 @@
+#include <damaskworks/fleet_plan.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace damask::fleet {
+namespace {
+
+/// What a pool has and needs, in machines.
+struct PoolNeed {
+    std::string name;
+    int has = 0; ///< machines that serve it or are on their way
+    int needs = 0;
+    std::vector<const Machine*> idle; ///< machines without work that may go
+};
+
+bool isStandby(const FleetState& state, const std::string& pool)
+{
+    const auto found = state.config.pools.find(pool);
+    return found != state.config.pools.end() && found->second.standby;
+}
+
+/// Processor time that the pool should have: what runs, with headroom, and the backlog. A backlog of
+/// short tasks needs no more than works it off in time.
+double wantedCpu(const PoolLoad& load, const FleetLimits& limits)
+{
+    const double active = static_cast<double>(load.usedCpu - load.servingCpu);
+    const double toDrain
+        = static_cast<double>(load.waitingWork) * 1000 / static_cast<double>(limits.drainTime.count());
+    const double backlog = std::min(static_cast<double>(load.waitingCpu), toDrain);
+    return static_cast<double>(load.servingCpu) + active * limits.headroom + backlog;
+}
+
+bool mayLeave(const FleetState& state, const Machine& machine, const FleetLimits& limits, TimePoint now)
+{
+    if (machine.state != MachineState::Up || state.tasks.contains(machine.id))
+        return false;
+    const auto moved = state.movedAt.find(machine.id);
+    return moved == state.movedAt.end() || now - moved->second >= limits.shortestStay;
+}
+
+PoolNeed needOf(const FleetState& state, const std::string& pool, const FleetLimits& limits, TimePoint now)
+{
+    PoolNeed need { .name = pool };
+    const auto load = state.loads.find(pool);
+    int up = 0;
+    for (const auto& [id, machine] : state.machines) {
+        const auto task = state.tasks.find(id);
+        const bool moves = task != state.tasks.end() && task->second.action == MachineAction::Move;
+        need.has += (moves ? task->second.toPool : machine.pool) == pool;
+        if (machine.pool != pool || machine.state != MachineState::Up)
+            continue;
+        ++up;
+        const bool idle = load != state.loads.end() && !load->second.runs.contains(id);
+        if (idle && mayLeave(state, machine, limits, now))
+            need.idle.push_back(&machine);
+    }
+    if (load == state.loads.end() || up == 0 || load->second.capacityCpu == 0) {
+        need.needs = need.has;
+        return need;
+    }
+    const double perMachine = static_cast<double>(load->second.capacityCpu) / up;
+    const int working = up - static_cast<int>(need.idle.size());
+    const int wanted = static_cast<int>(std::ceil(wantedCpu(load->second, limits) / perMachine));
+    need.needs = std::max(wanted, working) + limits.idleReserve;
+    return need;
+}
+
+std::vector<const Machine*> standbyMachines(const FleetState& state, const FleetLimits& limits, TimePoint now)
+{
+    std::vector<const Machine*> out;
+    for (const auto& [id, machine] : state.machines) {
+        if (isStandby(state, machine.pool) && mayLeave(state, machine, limits, now))
+            out.push_back(&machine);
+    }
+    return out;
+}
+
+} // namespace
+
+std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now)
+{
+    std::vector<PoolNeed> pools;
+    for (const auto& [name, load] : state.loads) {
+        if (state.config.pools.contains(name) && !isStandby(state, name))
+            pools.push_back(needOf(state, name, limits, now));
+    }
+    auto available = standbyMachines(state, limits, now);
+    for (auto& pool : pools) {
+        const int surplus = pool.has - pool.needs;
+        for (int i = 0; i < surplus && i < static_cast<int>(pool.idle.size()); ++i)
+            available.push_back(pool.idle[static_cast<std::size_t>(i)]);
+    }
+    std::sort(pools.begin(), pools.end(),
+        [](const PoolNeed& a, const PoolNeed& b) { return a.needs - a.has > b.needs - b.has; });
+    std::vector<MachineTask> out;
+    auto next = available.begin();
+    for (const auto& pool : pools) {
+        for (int missing = pool.needs - pool.has; missing > 0 && next != available.end(); --missing, ++next)
+            out.push_back({ (*next)->id, MachineAction::Move, 0, pool.name, (*next)->vm });
+    }
+    return out;
+}
+
+} // namespace damask::fleet
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -95,7 +95,8 @@
 std::string encodeLoad(const PoolLoad& load)
 {
     return json({ { "waitingCpu", load.waitingCpu }, { "waitingWork", load.waitingWork },
-                    { "usedCpu", load.usedCpu }, { "runs", load.runs }, { "empty", load.empty } })
+                    { "usedCpu", load.usedCpu }, { "servingCpu", load.servingCpu },
+                    { "capacityCpu", load.capacityCpu }, { "runs", load.runs }, { "empty", load.empty } })
         .dump();
 }
 
@@ -109,6 +110,8 @@
         load.waitingCpu = value.at("waitingCpu").get<std::int64_t>();
         load.waitingWork = value.at("waitingWork").get<std::int64_t>();
         load.usedCpu = value.at("usedCpu").get<std::int64_t>();
+        load.servingCpu = value.at("servingCpu").get<std::int64_t>();
+        load.capacityCpu = value.at("capacityCpu").get<std::int64_t>();
         load.runs = value.at("runs").get<std::map<std::string, int>>();
         load.empty = value.at("empty").get<std::set<std::string>>();
         return load;
--- /dev/null
+++ b/src/libscheduler/fleet_plan_test.cpp
@@ -0,0 +1,157 @@
+/// Which machines go into maintenance, and which change their pool.
+#include <damaskworks/fleet_plan.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damask;
+using namespace damask::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Two pools of four machines with four cores each, and two machines that are off.
+struct FleetFixture {
+    FleetState state;
+    FleetLimits limits;
+    ManualClock clock;
+
+    FleetFixture()
+    {
+        for (const char* pool : { "a", "b" }) {
+            state.config.pools[pool] = { pool, false, false };
+            for (int i = 0; i < 4; ++i)
+                addMachine(std::string(pool) + std::to_string(i), pool);
+            state.loads[pool].capacityCpu = 16'000;
+        }
+        state.config.pools["spare"] = { "spare", true, false };
+        addMachine("s0", "spare");
+        addMachine("s1", "spare");
+        state.machines["s0"].vm = state.machines["s1"].vm = "";
+    }
+
+    void addMachine(const std::string& id, const std::string& pool)
+    {
+        state.machines[id] = { id, pool, MachineState::Up, "vm-" + id };
+    }
+
+    void wave(std::vector<std::string> machines, int maxDown, milliseconds duration = 24s)
+    {
+        state.waves[1] = { { 1, std::move(machines), duration, maxDown }, clock.now(), {} };
+    }
+
+    /// The pool has a backlog that needs \p cores for a second.
+    void backlog(const std::string& pool, int cores)
+    {
+        auto& load = state.loads[pool];
+        load.usedCpu = load.capacityCpu;
+        load.waitingCpu = cores * 1000;
+        load.waitingWork = cores * 1000;
+        for (const auto& [id, machine] : state.machines) {
+            if (machine.pool == pool)
+                load.runs[id] = 4;
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(fleet_plan, FleetFixture)
+
+BOOST_AUTO_TEST_CASE(waveKeepsToItsLimitAndStartsWithMachinesThatAreOff)
+{
+    wave({ "a0", "a1", "b0", "s0", "s1" }, 3);
+    const auto tasks = planMaintenance(state, limits, clock.now());
+    BOOST_REQUIRE(tasks.size() == 3u);
+    BOOST_TEST(tasks[0].machine == "s0");
+    BOOST_TEST(tasks[1].machine == "s1");
+    for (const auto& task : tasks)
+        state.tasks.emplace(task.machine, task);
+    BOOST_TEST(planMaintenance(state, limits, clock.now()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(poolGivesUpOnlyAPartOfItsMachinesAtOnce)
+{
+    wave({ "a0", "a1", "a2", "a3" }, 4);
+    BOOST_TEST(planMaintenance(state, limits, clock.now()).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(poolWithABacklogIsSparedUntilTimeIsShort)
+{
+    wave({ "a0" }, 4);
+    backlog("a", 20);
+    BOOST_TEST(planMaintenance(state, limits, clock.now()).empty());
+    clock.advance(20s);
+    BOOST_TEST(planMaintenance(state, limits, clock.now()).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(maintenanceIsOrderedOnlyOnceTheMachineIsEmpty)
+{
+    wave({ "a0" }, 4);
+    const auto tasks = planMaintenance(state, limits, clock.now());
+    BOOST_REQUIRE(tasks.size() == 1u);
+    BOOST_TEST(!mayOrder(state, tasks[0]));
+    state.loads["a"].empty.insert("a0");
+    BOOST_TEST(mayOrder(state, tasks[0]));
+}
+
+BOOST_AUTO_TEST_CASE(machineIsBackOnlyWithAnotherVm)
+{
+    MachineTask task { "a0", MachineAction::Maintain, 1, "", "vm-a0", MachineTaskState::Ordered };
+    BOOST_TEST(!isBack(state, task));
+    state.machines["a0"].vm = "vm-new";
+    BOOST_TEST(isBack(state, task));
+    state.machines["a0"].state = MachineState::Maintenance;
+    BOOST_TEST(!isBack(state, task));
+}
+
+BOOST_AUTO_TEST_CASE(waveIsCompleteOnlyWhenEveryMachineThatStaysIsDone)
+{
+    wave({ "a0", "gone" }, 4);
+    BOOST_TEST(!isComplete(state, state.waves[1]));
+    state.waves[1].done.insert("a0");
+    BOOST_TEST(isComplete(state, state.waves[1]));
+}
+
+BOOST_AUTO_TEST_CASE(poolWithABacklogGetsMachinesThatAreOffThenIdleOnes)
+{
+    backlog("a", 20);
+    const auto moves = planMoves(state, limits, clock.now());
+    BOOST_REQUIRE(moves.size() >= 4u);
+    BOOST_TEST(moves[0].machine == "s0");
+    BOOST_TEST(moves[1].machine == "s1");
+    BOOST_TEST(state.machines[moves[2].machine].pool == "b");
+    for (const auto& move : moves)
+        BOOST_TEST(move.toPool == "a");
+    // The other pool keeps a reserve for its next jobs.
+    BOOST_TEST(moves.size() == 5u);
+}
+
+BOOST_AUTO_TEST_CASE(machinesOnTheirWayCountAsThere)
+{
+    backlog("a", 4);
+    for (const auto& move : planMoves(state, limits, clock.now()))
+        state.tasks.emplace(move.machine, move);
+    BOOST_TEST(planMoves(state, limits, clock.now()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(machineThatHasJustComeStays)
+{
+    backlog("a", 20);
+    for (const char* id : { "b0", "b1", "b2", "b3", "s0", "s1" })
+        state.movedAt[id] = clock.now();
+    BOOST_TEST(planMoves(state, limits, clock.now()).empty());
+    clock.advance(limits.shortestStay);
+    BOOST_TEST(!planMoves(state, limits, clock.now()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(rowsAreReadAsTheyWereWritten)
+{
+    backlog("a", 20);
+    state.loads["a"].empty.insert("a1");
+    BOOST_TEST((decodeLoad(encodeLoad(state.loads["a"])) == state.loads["a"]));
+    const MachineTask task { "a0", MachineAction::Move, 0, "b", "vm-a0", MachineTaskState::Ordered };
+    BOOST_TEST((decodeTask(encodeTask(task)) == task));
+    BOOST_TEST(!decodeTask("{}"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -73,13 +73,23 @@
 }
 
 /// Smaller is better.
-using Score = std::tuple<bool, int, double>;
+using Score = std::tuple<bool, int, int, double>;
+
+int servingOn(const PoolState& state, const VmState& vm)
+{
+    return static_cast<int>(std::count_if(vm.runs.begin(), vm.runs.end(), [&](const TaskId& run) {
+        const auto job = state.jobs.find(run.job);
+        return job != state.jobs.end() && stepOf(job->second, run.step).longRunning;
+    }));
+}
 
 Score scoreOf(const PoolState& state, const VmState& vm, const StepSpec& step, const std::string& rack)
 {
     const bool far = !rack.empty() && vm.entry.rack != rack;
     const auto capacity = static_cast<double>(std::max<std::int64_t>(vm.entry.capacity.cpu, 1));
-    return { far, conflictsOn(state, vm, step), static_cast<double>(vm.used.cpu) / capacity };
+    // Tasks are packed, long-running ones above all, so that VMs become free to be moved.
+    const int together = step.longRunning ? -servingOn(state, vm) : 0;
+    return { far, conflictsOn(state, vm, step), together, -static_cast<double>(vm.used.cpu) / capacity };
 }
 
 } // namespace
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -63,6 +63,13 @@
     PoolLoad load;
     for (const auto& [name, vm] : state.vms) {
         load.usedCpu += vm.used.cpu;
+        if (vm.listed && vm.read && !vm.silent && !vm.evacuating && !vm.entry.draining)
+            load.capacityCpu += vm.entry.capacity.cpu;
+        for (const auto& run : vm.runs) {
+            const auto& step = stepOf(state.jobs.find(run.job)->second, run.step);
+            if (step.longRunning)
+                load.servingCpu += reservedBy(step).cpu;
+        }
         if (!vm.runs.empty())
             load.runs[vm.entry.machine] = static_cast<int>(vm.runs.size());
         if (vm.evacuating && vm.read && vm.runs.empty() && vm.strangers.empty())
--- /dev/null
+++ b/src/libscheduler/pool_fixture_test.h
@@ -0,0 +1,127 @@
+/// \file
+/// A pool with VMs and jobs for tests.
+#pragma once
+
+#include <damaskworks/pool_plan.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace damask::fleet {
+
+/// Pool "pricing" with queue "quotes"; time starts at an hour and moves by hand.
+struct PoolFixture {
+    PoolState state;
+    ManualClock clock;
+    WallTime wall { 1'000'000 };
+
+    PoolFixture()
+    {
+        state.pool = "pricing";
+        Queue queue;
+        queue.name = "quotes";
+        queue.pool = "pricing";
+        queue.maxAttempts = 2;
+        queue.stretch = 1.6;
+        queue.latencyTarget = milliseconds(600);
+        state.queues.emplace(queue.name, queue);
+    }
+
+    void addVm(
+        const std::string& id, std::int64_t cpu = 4000, const std::string& rack = "r1", bool read = true)
+    {
+        VmEntry vm;
+        vm.id = id;
+        vm.machine = "m-" + id;
+        vm.pool = "pricing";
+        vm.capacity = { cpu, 32'000, 0 };
+        vm.rack = rack;
+        vm.labels = { "a", rack };
+        listVm(state, vm);
+        if (read)
+            report(id);
+    }
+
+    static StepSpec step(int count, std::int64_t cpu = 1000)
+    {
+        StepSpec out;
+        out.count = count;
+        out.need = { cpu, 100, 0 };
+        out.estimate = milliseconds(1000);
+        return out;
+    }
+
+    JobSpec job(const std::string& id, std::vector<StepSpec> steps) const
+    {
+        JobSpec out;
+        out.id = id;
+        out.queue = "quotes";
+        out.pool = "pricing";
+        out.spec = "work";
+        out.steps = std::move(steps);
+        out.acceptedAt = wall;
+        return out;
+    }
+
+    void submit(const std::string& id, std::vector<StepSpec> steps, bool recovered = false,
+        const std::string& progress = "")
+    {
+        addJob(state, job(id, std::move(steps)), progress, recovered);
+    }
+
+    void advance(milliseconds span)
+    {
+        clock.advance(span);
+        wall += span;
+    }
+
+    std::vector<StartAction> starts() { return planStarts(state, clock.now(), wall); }
+
+    /// Starts what can start, and has every start accepted.
+    std::vector<StartAction> run()
+    {
+        auto out = starts();
+        for (const auto& start : out)
+            applyStartOutcome(
+                state, start.vm, start.order.task, start.order.run, OrderOutcome::Accepted, clock.now());
+        return out;
+    }
+
+    /// What the VM runs by the pool's own books, with \p ended besides.
+    void report(const std::string& vm, std::vector<EndReport> ended = {}, std::int64_t born = 1)
+    {
+        VmReport out;
+        out.vmClock = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch());
+        out.born = born;
+        for (const auto& id : state.vms.at(vm).runs) {
+            const auto& task = *findTask(state, id);
+            const bool over = std::any_of(
+                ended.begin(), ended.end(), [&](const EndReport& end) { return end.task == id; });
+            if (!over)
+                out.running.push_back({ id, task.run->number, "", 50, 0 });
+        }
+        out.ended = std::move(ended);
+        applyReport(state, vm, out, clock.now(), clock.now());
+    }
+
+    void reportEmpty(const std::string& vm, std::int64_t born = 1)
+    {
+        VmReport out;
+        out.vmClock = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch());
+        out.born = born;
+        applyReport(state, vm, out, clock.now(), clock.now());
+    }
+
+    static EndReport end(std::uint64_t number, const StartAction& start, EndKind kind = EndKind::Done)
+    {
+        return { number, start.order.task, start.order.run, kind, "" };
+    }
+
+    const TaskState& task(const std::string& job, int step, int index)
+    {
+        return *findTask(state, { job, 0, step, index });
+    }
+};
+
+} // namespace damask::fleet
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -23,6 +23,8 @@
 /// A VM that fails the work of several jobs in a row is set aside; one bad job can't do that to it.
 void noteFailure(VmState& vm, const std::string& job, const PoolLimits& limits, TimePoint now)
 {
+    if (now < vm.asideUntil)
+        return; // runs that had begun before
     ++vm.failureStreak;
     if (vm.lastFailedJob != job)
         ++vm.jobsInStreak;
