Count long-running tasks without a place in what a pool needs

Tried and reverted: switching idle machines off after 1.5 s, with 0 or 4 kept on in each pool. Change: a pool needs room for waiting long-running tasks and as many machines as a spread step has to have.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -22,6 +22,8 @@
     std::int64_t waitingWork = 0; ///< their work by estimate, core-milliseconds
     std::int64_t usedCpu = 0; ///< of all VMs
     std::int64_t servingCpu = 0; ///< part of usedCpu that long-running tasks have
+    std::int64_t waitingServingCpu = 0; ///< that long-running tasks without a place need
+    int minMachines = 0; ///< least machines over which a step's tasks have to be spread
     std::int64_t capacityCpu = 0; ///< of the VMs that take work
     std::map<std::string, int> runs; ///< runs by machine, without entries of zero
     std::set<std::string> empty; ///< machines that are emptied: nothing runs there and nothing will
@@ -79,6 +81,7 @@
     std::map<std::string, MachineTask> tasks; ///< by machine
     std::map<std::int64_t, WaveState> waves;
     std::map<std::string, TimePoint> movedAt; ///< by machine, end of its last task
+    std::set<std::pair<std::string, std::string>> refusedMoves; ///< machine and pool
 };
 
 /// Limits of the coordinator.
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -209,6 +209,7 @@
         m_ledger.raiseFence();
     if (outcome == OrderOutcome::Invalid && found->second.action == MachineAction::Move) {
         // The platform will not carry it out; the machine stays where it is.
+        m_state.refusedMoves.insert({ machine, found->second.toPool });
         m_state.tasks.erase(found);
         m_changedTasks.insert(machine);
         m_ledger.markDirty();
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -28,7 +28,7 @@
     const double toDrain
         = static_cast<double>(load.waitingWork) * 1000 / static_cast<double>(limits.drainTime.count());
     const double backlog = std::min(static_cast<double>(load.waitingCpu), toDrain);
-    return static_cast<double>(load.servingCpu) + active * limits.headroom + backlog;
+    return static_cast<double>(load.servingCpu + load.waitingServingCpu) + active * limits.headroom + backlog;
 }
 
 bool mayLeave(const FleetState& state, const Machine& machine, const FleetLimits& limits, TimePoint now)
@@ -62,7 +62,7 @@
     const double perMachine = static_cast<double>(load->second.capacityCpu) / up;
     const int working = up - static_cast<int>(need.idle.size());
     const int wanted = static_cast<int>(std::ceil(wantedCpu(load->second, limits) / perMachine));
-    need.needs = std::max(wanted, working) + limits.idleReserve;
+    need.needs = std::max({ wanted, working, load->second.minMachines }) + limits.idleReserve;
     return need;
 }
 
@@ -76,15 +76,21 @@
     return out;
 }
 
-} // namespace
-
-std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now)
+std::vector<PoolNeed> needsOf(const FleetState& state, const FleetLimits& limits, TimePoint now)
 {
     std::vector<PoolNeed> pools;
     for (const auto& [name, load] : state.loads) {
         if (state.config.pools.contains(name) && !isStandby(state, name))
             pools.push_back(needOf(state, name, limits, now));
     }
+    return pools;
+}
+
+} // namespace
+
+std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now)
+{
+    auto pools = needsOf(state, limits, now);
     auto available = standbyMachines(state, limits, now);
     for (auto& pool : pools) {
         const int surplus = pool.has - pool.needs;
@@ -96,8 +102,12 @@
     std::vector<MachineTask> out;
     auto next = available.begin();
     for (const auto& pool : pools) {
-        for (int missing = pool.needs - pool.has; missing > 0 && next != available.end(); --missing, ++next)
+        for (int missing = pool.needs - pool.has; missing > 0 && next != available.end(); ++next) {
+            if (state.refusedMoves.contains({ (*next)->id, pool.name }))
+                continue;
             out.push_back({ (*next)->id, MachineAction::Move, 0, pool.name, (*next)->vm });
+            --missing;
+        }
     }
     return out;
 }
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -96,6 +96,7 @@
 {
     return json({ { "waitingCpu", load.waitingCpu }, { "waitingWork", load.waitingWork },
                     { "usedCpu", load.usedCpu }, { "servingCpu", load.servingCpu },
+                    { "waitingServingCpu", load.waitingServingCpu }, { "minMachines", load.minMachines },
                     { "capacityCpu", load.capacityCpu }, { "runs", load.runs }, { "empty", load.empty } })
         .dump();
 }
@@ -111,6 +112,8 @@
         load.waitingWork = value.at("waitingWork").get<std::int64_t>();
         load.usedCpu = value.at("usedCpu").get<std::int64_t>();
         load.servingCpu = value.at("servingCpu").get<std::int64_t>();
+        load.waitingServingCpu = value.at("waitingServingCpu").get<std::int64_t>();
+        load.minMachines = value.at("minMachines").get<int>();
         load.capacityCpu = value.at("capacityCpu").get<std::int64_t>();
         load.runs = value.at("runs").get<std::map<std::string, int>>();
         load.empty = value.at("empty").get<std::set<std::string>>();
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -33,6 +33,28 @@
         markStopping(*task.run, now);
 }
 
+/// Adds the tasks of an occurrence that could run but have no place.
+void addWaiting(PoolLoad& load, const JobEntry& job, const OccurrenceState& occurrence)
+{
+    for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+        const auto& step = stepOf(job, s);
+        if (!isStepReady(job, occurrence, s))
+            continue;
+        const auto& tasks = occurrence.steps[static_cast<std::size_t>(s)].tasks;
+        if (step.longRunning && step.maxPerVm > 0)
+            load.minMachines = std::max(load.minMachines, (step.count + step.maxPerVm - 1) / step.maxPerVm);
+        const auto waiting = std::count_if(
+            tasks.begin(), tasks.end(), [](const TaskState& task) { return !task.done && !task.run; });
+        const auto cpu = reservedBy(step).cpu * waiting;
+        if (step.longRunning) {
+            load.waitingServingCpu += cpu;
+            continue;
+        }
+        load.waitingCpu += cpu;
+        load.waitingWork += cpu * step.estimate.count() / 1000;
+    }
+}
+
 } // namespace
 
 void planEvacuations(PoolState& state, TimePoint now)
@@ -78,19 +100,8 @@
     for (const auto& [id, job] : state.jobs) {
         if (isFinal(job.state))
             continue;
-        for (const auto& [number, occurrence] : job.occurrences) {
-            for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
-                const auto& step = stepOf(job, s);
-                if (step.filler || !isStepReady(job, occurrence, s))
-                    continue;
-                for (const auto& task : occurrence.steps[static_cast<std::size_t>(s)].tasks) {
-                    if (task.done || task.run)
-                        continue;
-                    load.waitingCpu += step.need.cpu;
-                    load.waitingWork += step.need.cpu * step.estimate.count() / 1000;
-                }
-            }
-        }
+        for (const auto& [number, occurrence] : job.occurrences)
+            addWaiting(load, job, occurrence);
     }
     return load;
 }
