Let a new holder learn from the platform which VMs it has to read

Ruled out: slow reading of the VMs (all read within 0.1 s). Change: the holder asks the platform for the pool's machines; once every VM named there and in the registry was read, nothing can run unseen.

--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -98,7 +98,6 @@
     bool m_wasReady = false;
     bool m_stopping = false;
     TimePoint m_stopBegan {};
-    TimePoint m_registrySince {}; ///< since when the registry is followed without a gap
 };
 
 } // namespace damask::fleet
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -23,6 +23,7 @@
     Metrics& metrics;
     SharedTable& table;
     EndpointControl& endpoints;
+    MachineControl& machines;
     const JobDirectory& directory;
 };
 
@@ -46,8 +47,6 @@
     void unlistVm(const std::string& id);
     /// Machines that are to be emptied.
     void setEvacuations(const std::set<std::string>& machines);
-    /// Whether the registry has been followed without a gap for long enough to name every VM.
-    void setRegistryComplete(bool complete);
     /// Stops giving orders and gives the lease back.
     void release();
     const PoolState& state() const { return m_state; }
@@ -61,6 +60,7 @@
         std::uint64_t sentAcknowledgement = 0;
     };
 
+    void readMachines();
     void wake(std::chrono::microseconds delay);
     void pass();
     void sendStops(TimePoint now);
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -123,7 +123,9 @@
     std::map<std::string, VmState, std::less<>> vms;
     /// Until then tasks of recovered jobs may run on VMs that were not read.
     TimePoint uncertainUntil {};
-    bool registryComplete = false; ///< the registry lists every live VM
+    /// VMs that the platform says the pool has; the registry may miss some of them for a while after
+    /// an outage. Not set until the platform has said so.
+    std::optional<std::set<std::string>> knownVms;
 };
 
 /// Stop of a run.
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -21,8 +21,6 @@
 constexpr milliseconds readyContact { 2500 };
 /// A node without an answer from the table for this long takes no leases.
 constexpr milliseconds electionContact { 1500 };
-/// Registrations that lapsed while the table was away are back about two seconds after its return.
-constexpr milliseconds registrySettles { 3000 };
 /// The balancer asks once a second and takes a node out after two misses; one second more for its
 /// own delay.
 constexpr milliseconds balancerNotices { 2300 };
@@ -240,7 +238,6 @@
     }
     for (const auto& id : gone)
         removeVm(id);
-    m_registrySince = m_clock.now();
 }
 
 void FleetNode::onLeaseTaken(const std::string& pool, const TakenLease& lease)
@@ -254,7 +251,7 @@
         return beginHolders();
     }
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
-        m_directory };
+        *m_adapter.machines, m_directory };
     m_holders[pool] = std::make_unique<PoolHolder>(context, pool, lease, m_leaseLimits, m_settings.maxLease,
         [this, pool] { m_endedHolders.push_back(pool); });
     m_jobRows.setGap(promptGap);
@@ -305,12 +302,6 @@
 void FleetNode::tick()
 {
     dropEndedHolders();
-    const auto now = m_clock.now();
-    if (now - m_vmRows.lastContact() > readyContact)
-        m_registrySince = now;
-    const bool complete = m_vmRows.isLoaded() && now - m_registrySince > registrySettles;
-    for (auto& [pool, holder] : m_holders)
-        holder->setRegistryComplete(complete);
     m_metrics.gauge("pools_held", static_cast<double>(m_holders.size()));
     if (isReady() == m_wasReady)
         return;
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -71,9 +71,33 @@
         { { "pool", m_state.pool }, { "term", std::to_string(m_state.term) },
             { "fence", std::to_string(m_ledger.fence()) }, { "jobs", std::to_string(m_state.jobs.size()) },
             { "vms", std::to_string(m_state.vms.size()) } });
+    if (m_state.term > 0)
+        readMachines();
     wake(microseconds(0));
 }
 
+void PoolHolder::readMachines()
+{
+    m_context.machines.list(
+        [this, alive = m_alive](tl::expected<std::vector<Machine>, OrderOutcome> machines) {
+            if (!*alive || m_ended)
+                return;
+            if (!machines) {
+                logEvent(LogLevel::Warning, "machines_unreadable",
+                    { { "pool", m_state.pool },
+                        { "outcome", std::string(nameOf(orderOutcomeNames, machines.error())) } });
+                return; // the leases of the VMs will have run out
+            }
+            std::set<std::string> vms;
+            for (const auto& machine : *machines) {
+                if (machine.pool == m_state.pool && !machine.vm.empty())
+                    vms.insert(machine.vm);
+            }
+            m_state.knownVms = std::move(vms);
+            wake(passDelay);
+        });
+}
+
 void PoolHolder::applyConfig(const FleetConfig& config)
 {
     m_state.queues.clear();
@@ -127,8 +151,6 @@
     wake(passDelay);
 }
 
-void PoolHolder::setRegistryComplete(bool complete) { m_state.registryComplete = complete; }
-
 void PoolHolder::release()
 {
     m_passTimer.stop();
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -188,9 +188,13 @@
 {
     if (now >= state.uncertainUntil)
         return true;
-    return state.registryComplete && std::all_of(state.vms.begin(), state.vms.end(), [](const auto& entry) {
-        return entry.second.read;
-    });
+    if (!state.knownVms)
+        return false;
+    const bool listedRead = std::all_of(
+        state.vms.begin(), state.vms.end(), [](const auto& entry) { return entry.second.read; });
+    return listedRead
+        && std::all_of(state.knownVms->begin(), state.knownVms->end(),
+            [&](const std::string& vm) { return state.vms.contains(vm); });
 }
 
 } // namespace
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -151,7 +151,7 @@
 BOOST_AUTO_TEST_CASE(newHolderStartsNothingOldBeforeItHasReadEveryVm)
 {
     state.term = 1;
-    state.registryComplete = true;
+    state.knownVms = { "v1", "v2", "v3" };
     state.uncertainUntil = clock.now() + 5s;
     addVm("v1");
     addVm("v2", 4000, "r1", false);
@@ -162,6 +162,9 @@
     BOOST_TEST(out[0].order.task.job == "j2");
     BOOST_TEST(out[0].order.run == 1u);
     report("v2");
+    // The registry misses a VM that the platform knows.
+    BOOST_TEST(run().empty());
+    addVm("v3");
     out = run();
     BOOST_REQUIRE(out.size() == 1u);
     BOOST_TEST(out[0].order.task.job == "j1");
