Count the rate at which work arrives in what a pool needs

Change: a holder publishes the work accepted in the last 0.8 s as a rate; the coordinator takes the larger of it and what runs. Test replays the start of a turn.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -20,6 +20,7 @@
 struct PoolLoad {
     std::int64_t waitingCpu = 0; ///< thousandths of a core that ready tasks without a place need
     std::int64_t waitingWork = 0; ///< their work by estimate, core-milliseconds
+    std::int64_t arrivingCpu = 0; ///< that new jobs need to be worked off as fast as they come
     std::int64_t usedCpu = 0; ///< of all VMs
     std::int64_t servingCpu = 0; ///< part of usedCpu that long-running tasks have
     std::int64_t waitingServingCpu = 0; ///< that long-running tasks without a place need
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -8,6 +8,7 @@
 #include <damaskworks/endpoint_control.h>
 #include <damaskworks/job.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -109,9 +110,16 @@
     double stallFactor = 4; ///< a task without progress for this many estimates is stopped
     milliseconds shortestStall { 4000 };
     milliseconds longestEvacuation { 5000 }; ///< most tasks end within this; others are stopped
+    milliseconds arrivalWindow { 800 }; ///< over which the rate of new work is taken
     milliseconds farPenaltyWait { 400 }; ///< wait for a place in the preferred rack
 };
 
+/// Work of a job that was accepted lately.
+struct Arrival {
+    TimePoint at {};
+    double work = 0; ///< of all its steps by estimate, thousandths of a core times milliseconds
+};
+
 /// The pool.
 struct PoolState {
     std::string pool;
@@ -121,6 +129,7 @@
     std::map<std::string, Queue, std::less<>> queues; ///< by name
     std::map<std::string, JobEntry, std::less<>> jobs; ///< not ended
     std::map<std::string, VmState, std::less<>> vms;
+    std::deque<Arrival> arrivals; ///< within the last arrivalWindow
     /// Until then tasks of recovered jobs may run on VMs that were not read.
     TimePoint uncertainUntil {};
     /// VMs that the platform says the pool has; the registry may miss some of them for a while after
@@ -146,6 +155,8 @@
 
 /// Adds a job. \p progress is its durable record, empty if there is none.
 void addJob(PoolState& state, JobSpec spec, std::string_view progress, bool recovered);
+/// Counts the work of a new job towards the rate at which work arrives.
+void noteArrival(PoolState& state, const JobSpec& job, TimePoint now);
 /// Cancels a job; its runs are stopped by the next planStops().
 void cancelJob(PoolState& state, std::string_view id);
 /// Adds or changes a VM as the registry lists it.
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -117,6 +117,8 @@
         auto job = decodeJob(record.text);
         if (!job)
             return; // the directory has logged it
+        if (record.version >= m_takenAt)
+            noteArrival(m_state, *job, m_context.clock.now());
         addJob(m_state, std::move(*job), record.progress, m_state.term > 0 && record.version < m_takenAt);
     }
     if (record.cancelled)
@@ -366,6 +368,8 @@
 
 void PoolHolder::publishLoad(TimePoint now)
 {
+    while (!m_state.arrivals.empty() && now - m_state.arrivals.front().at > m_state.limits.arrivalWindow)
+        m_state.arrivals.pop_front();
     auto load = loadOf(m_state, now);
     if (load == m_load)
         return;
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -28,7 +28,9 @@
     const double toDrain
         = static_cast<double>(load.waitingWork) * 1000 / static_cast<double>(limits.drainTime.count());
     const double backlog = std::min(static_cast<double>(load.waitingCpu), toDrain);
-    return static_cast<double>(load.servingCpu + load.waitingServingCpu) + active * limits.headroom + backlog;
+    const double arriving = static_cast<double>(load.arrivingCpu);
+    const double serving = static_cast<double>(load.servingCpu + load.waitingServingCpu);
+    return serving + std::max(active, arriving) * limits.headroom + backlog;
 }
 
 bool mayLeave(const FleetState& state, const Machine& machine, const FleetLimits& limits, TimePoint now)
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -108,9 +108,10 @@
 std::string encodeLoad(const PoolLoad& load)
 {
     return json({ { "waitingCpu", load.waitingCpu }, { "waitingWork", load.waitingWork },
-                    { "usedCpu", load.usedCpu }, { "servingCpu", load.servingCpu },
-                    { "waitingServingCpu", load.waitingServingCpu }, { "minMachines", load.minMachines },
-                    { "capacityCpu", load.capacityCpu }, { "runs", load.runs }, { "empty", load.empty } })
+                    { "arrivingCpu", load.arrivingCpu }, { "usedCpu", load.usedCpu },
+                    { "servingCpu", load.servingCpu }, { "waitingServingCpu", load.waitingServingCpu },
+                    { "minMachines", load.minMachines }, { "capacityCpu", load.capacityCpu },
+                    { "runs", load.runs }, { "empty", load.empty } })
         .dump();
 }
 
@@ -124,6 +125,7 @@
         load.waitingCpu = value.at("waitingCpu").get<std::int64_t>();
         load.waitingWork = value.at("waitingWork").get<std::int64_t>();
         load.usedCpu = value.at("usedCpu").get<std::int64_t>();
+        load.arrivingCpu = value.at("arrivingCpu").get<std::int64_t>();
         load.servingCpu = value.at("servingCpu").get<std::int64_t>();
         load.waitingServingCpu = value.at("waitingServingCpu").get<std::int64_t>();
         load.minMachines = value.at("minMachines").get<int>();
--- a/src/libscheduler/fleet_plan_test.cpp
+++ b/src/libscheduler/fleet_plan_test.cpp
@@ -135,6 +135,16 @@
     BOOST_TEST(moves.size() == 5u);
 }
 
+BOOST_AUTO_TEST_CASE(poolGetsMachinesForWorkThatArrivesFasterThanItsRoom)
+{
+    // A turn of demand begins: nothing waits yet, but twice the pool's processors are asked for.
+    auto& load = state.loads["a"];
+    load.arrivingCpu = 2 * load.capacityCpu;
+    BOOST_TEST(planMoves(state, limits, clock.now()).size() == 5u);
+    load.arrivingCpu = 0;
+    BOOST_TEST(planMoves(state, limits, clock.now()).empty());
+}
+
 BOOST_AUTO_TEST_CASE(machinesOnTheirWayCountAsThere)
 {
     backlog("a", 4);
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -55,6 +55,16 @@
     }
 }
 
+std::int64_t arrivingCpu(const PoolState& state, TimePoint now)
+{
+    double work = 0;
+    for (const auto& arrival : state.arrivals) {
+        if (now - arrival.at < state.limits.arrivalWindow)
+            work += arrival.work;
+    }
+    return static_cast<std::int64_t>(work / static_cast<double>(state.limits.arrivalWindow.count()));
+}
+
 } // namespace
 
 void planEvacuations(PoolState& state, TimePoint now)
@@ -80,9 +90,10 @@
     }
 }
 
-PoolLoad loadOf(const PoolState& state, TimePoint)
+PoolLoad loadOf(const PoolState& state, TimePoint now)
 {
     PoolLoad load;
+    load.arrivingCpu = arrivingCpu(state, now);
     for (const auto& [name, vm] : state.vms) {
         load.usedCpu += vm.used.cpu;
         if (vm.listed && vm.read && !vm.silent && !vm.evacuating && !vm.entry.draining)
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -53,6 +53,17 @@
     refreshState(state, entry);
 }
 
+void noteArrival(PoolState& state, const JobSpec& job, TimePoint now)
+{
+    double work = 0;
+    for (const auto& step : job.steps) {
+        if (!step.longRunning)
+            work += static_cast<double>(step.need.cpu * step.count)
+                * static_cast<double>(step.estimate.count());
+    }
+    state.arrivals.push_back({ now, work });
+}
+
 void cancelJob(PoolState& state, std::string_view id)
 {
     auto found = state.jobs.find(id);
