Take over pools without mistaking unread machines for idle ones

Ruled out: slow reading (VMs that live were read within 0.1 s). Change: an unread VM counts as at work; VMs that the platform does not name any more hold nothing up. Both tests failed before the change.

--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -90,7 +90,7 @@
             }
             std::set<std::string> vms;
             for (const auto& machine : *machines) {
-                if (machine.pool == m_state.pool && !machine.vm.empty())
+                if (machine.pool == m_state.pool && machine.state == MachineState::Up && !machine.vm.empty())
                     vms.insert(machine.vm);
             }
             m_state.knownVms = std::move(vms);
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -103,8 +103,9 @@
             if (step.longRunning)
                 load.servingCpu += reservedBy(step).cpu;
         }
-        if (!vm.runs.empty())
-            load.runs[vm.entry.machine] = static_cast<int>(vm.runs.size());
+        // What an unread VM runs is not known, so it is no machine without work.
+        if (!vm.runs.empty() || !vm.read)
+            load.runs[vm.entry.machine] = std::max(1, static_cast<int>(vm.runs.size()));
         if (vm.evacuating && vm.read && vm.runs.empty() && vm.strangers.empty())
             load.empty.insert(vm.entry.machine);
     }
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -188,13 +188,12 @@
 {
     if (now >= state.uncertainUntil)
         return true;
-    if (!state.knownVms)
-        return false;
-    const bool listedRead = std::all_of(
-        state.vms.begin(), state.vms.end(), [](const auto& entry) { return entry.second.read; });
-    return listedRead
-        && std::all_of(state.knownVms->begin(), state.knownVms->end(),
-            [&](const std::string& vm) { return state.vms.contains(vm); });
+    // A registered VM that the platform does not know any more has ended.
+    return state.knownVms
+        && std::all_of(state.knownVms->begin(), state.knownVms->end(), [&](const std::string& id) {
+               const auto vm = state.vms.find(id);
+               return vm != state.vms.end() && vm->second.read;
+           });
 }
 
 } // namespace
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -171,6 +171,25 @@
     BOOST_TEST(out[0].order.run > runBase(1));
 }
 
+BOOST_AUTO_TEST_CASE(registeredVmThatThePlatformDoesNotKnowHoldsNothingUp)
+{
+    state.term = 1;
+    state.knownVms = { "v1" };
+    state.uncertainUntil = clock.now() + 5s;
+    addVm("v1");
+    addVm("moved", 4000, "r1", false);
+    submit("j1", { step(1) }, true);
+    BOOST_TEST(starts().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(unreadVmDoesNotCountAsIdle)
+{
+    addVm("v1", 4000, "r1", false);
+    BOOST_TEST(loadOf(state, clock.now()).runs.contains("m-v1"));
+    report("v1");
+    BOOST_TEST(!loadOf(state, clock.now()).runs.contains("m-v1"));
+}
+
 BOOST_AUTO_TEST_CASE(newHolderAdoptsWhatRuns)
 {
     state.term = 1;
