Carry out waves of any size; give large tasks an empty machine

Ruled out: (1) the platform's rate for machines (no 429 in the logs). Change: the coordinator writes at most a transaction's worth at a time, a wave's row before the rows of its machines; holders tell how much waiting work fits beside no VM's long-running tasks, and the pool needs empty machines for it.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -24,6 +24,7 @@
     std::int64_t usedCpu = 0; ///< of all VMs
     std::int64_t servingCpu = 0; ///< part of usedCpu that long-running tasks have
     std::int64_t waitingServingCpu = 0; ///< that long-running tasks without a place need
+    std::int64_t unfitCpu = 0; ///< that waiting tasks need which fit on no VM beside what runs there
     int minMachines = 0; ///< least machines over which a step's tasks have to be spread
     std::int64_t capacityCpu = 0; ///< of the VMs that take work
     std::map<std::string, int> runs; ///< runs by machine, without entries of zero
--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -77,6 +77,7 @@
     void beginTasks(TimePoint now);
     void beginTask(MachineTask task);
     void giveOrders(TimePoint now);
+    void giveOrder(const MachineTask& task);
     void onOrdered(const std::string& machine, OrderOutcome outcome);
     void finishTasks();
     void reportWaves();
--- /dev/null
+++ b/src/libfleet/fakes_test.h
@@ -0,0 +1,147 @@
+/// \file
+/// The platform's services in memory, for tests: a table with parts and versions whose answers can
+/// fail, and machines that do what they are told.
+#pragma once
+
+#include <damaskworks/adapter.h>
+#include <damaskworks/loop.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace damask::fleet {
+
+/// What happens to a commit.
+enum class CommitFault {
+    None,
+    Refused, ///< nothing is done, and the table says so
+    Lost, ///< done, but not answered
+    Late, ///< not answered, and done only when applyLate() is called
+};
+
+/// Table in memory. Answers come on the next turn of the loop.
+class FakeTable final : public SharedTable {
+public:
+    explicit FakeTable(event_base* base)
+        : m_timer(base, [this] { answer(); })
+    {
+    }
+
+    std::deque<CommitFault> faults; ///< of the next commits; none when empty
+    std::size_t largestTransaction = 0;
+
+    void commit(const TableTransaction& transaction, std::chrono::milliseconds,
+        TableCallback<Version> callback) override
+    {
+        const auto fault = faults.empty() ? CommitFault::None : faults.front();
+        if (!faults.empty())
+            faults.pop_front();
+        if (fault == CommitFault::Late) {
+            m_late.push_back(transaction);
+            return later([callback] { callback(tl::make_unexpected(TableFailure::Unknown)); });
+        }
+        if (fault == CommitFault::Refused)
+            return later([callback] { callback(tl::make_unexpected(TableFailure::NotDone)); });
+        auto result = apply(transaction);
+        if (fault == CommitFault::Lost)
+            result = tl::make_unexpected(TableFailure::Unknown);
+        later([callback, result] { callback(result); });
+    }
+
+    void read(const std::string& table, const std::string& part, const std::string& from, int limit,
+        TableCallback<TableRows> callback) override
+    {
+        TableRows out { m_version, {}, false };
+        for (const auto& [key, row] : m_rows) {
+            if (std::get<0>(key) == table && row.part == part && row.key >= from
+                && static_cast<int>(out.rows.size()) < limit)
+                out.rows.push_back(row);
+        }
+        later([callback, out] { callback(out); });
+    }
+
+    void parts(const std::string& table, const std::string&,
+        TableCallback<std::vector<std::string>> callback) override
+    {
+        std::set<std::string> names;
+        for (const auto& [key, row] : m_rows) {
+            if (std::get<0>(key) == table)
+                names.insert(row.part);
+        }
+        later([callback, names] { callback(std::vector<std::string>(names.begin(), names.end())); });
+    }
+
+    void follow(const std::string&, Version, std::chrono::milliseconds, TableCallback<TableRows>) override { }
+
+    /// Carries out the late transactions whose expectations still hold; returns how many did.
+    int applyLate()
+    {
+        int done = 0;
+        for (const auto& transaction : m_late)
+            done += apply(transaction).has_value();
+        m_late.clear();
+        return done;
+    }
+
+    const TableRow* find(const std::string& table, const std::string& part, const std::string& key) const
+    {
+        const auto found = m_rows.find({ table, part, key });
+        return found == m_rows.end() ? nullptr : &found->second;
+    }
+
+    std::vector<TableRow> rows(const std::string& table) const
+    {
+        std::vector<TableRow> out;
+        for (const auto& [key, row] : m_rows) {
+            if (std::get<0>(key) == table)
+                out.push_back(row);
+        }
+        return out;
+    }
+
+private:
+    TableResult<Version> apply(const TableTransaction& transaction)
+    {
+        largestTransaction
+            = std::max(largestTransaction, transaction.expectations.size() + transaction.writes.size());
+        if (transaction.expectations.size() + transaction.writes.size() > maxTransactionEntries)
+            return tl::make_unexpected(TableFailure::Invalid);
+        for (const auto& expected : transaction.expectations) {
+            const auto* row = find(expected.table, transaction.part, expected.key);
+            if ((row ? row->version : 0) != expected.version)
+                return tl::make_unexpected(TableFailure::Conflict);
+        }
+        ++m_version;
+        for (const auto& write : transaction.writes) {
+            const auto key = std::tuple(write.table, transaction.part, write.key);
+            if (write.value)
+                m_rows[key] = { transaction.part, write.key, *write.value, m_version };
+            else
+                m_rows.erase(key);
+        }
+        return m_version;
+    }
+
+    void later(std::function<void()> callback)
+    {
+        m_answers.push_back(std::move(callback));
+        m_timer.startOnce(std::chrono::microseconds(1));
+    }
+
+    void answer()
+    {
+        auto answers = std::exchange(m_answers, {});
+        for (auto& callback : answers)
+            callback();
+    }
+
+    Version m_version = 0;
+    std::map<std::tuple<std::string, std::string, std::string>, TableRow> m_rows;
+    std::vector<TableTransaction> m_late;
+    std::deque<std::function<void()>> m_answers;
+    Timer m_timer;
+};
+
+} // namespace damask::fleet
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds idleRead { 5000 };
 constexpr milliseconds orderRetry { 400 };
 constexpr milliseconds statusTimeout { 1000 };
+/// Entries of a transaction besides the coordinator's rows: the lease's condition.
+constexpr std::size_t reservedEntries = 1;
 
 } // namespace
 
@@ -190,20 +192,25 @@
         const auto durable = m_durable.find(id);
         if (durable == m_durable.end() || durable->second != encodeTask(task) || m_ordering.contains(id))
             continue;
-        if (!mayOrder(m_state, task) || now < m_nextOrder[id])
-            continue;
-        m_ordering.insert(id);
-        auto done = [this, id, alive = m_alive](OrderOutcome outcome) {
-            if (*alive && !m_ended)
-                onOrdered(id, outcome);
-        };
-        if (task.action == MachineAction::Maintain)
-            m_context.machines.maintain(id, task.wave, m_ledger.fence(), done);
-        else
-            m_context.machines.move(id, task.toPool, m_ledger.fence(), done);
+        if (mayOrder(m_state, task) && now >= m_nextOrder[id])
+            giveOrder(task);
     }
 }
 
+void MachineCoordinator::giveOrder(const MachineTask& task)
+{
+    const auto machine = task.machine;
+    m_ordering.insert(machine);
+    auto done = [this, machine, alive = m_alive](OrderOutcome outcome) {
+        if (*alive && !m_ended)
+            onOrdered(machine, outcome);
+    };
+    if (task.action == MachineAction::Maintain)
+        m_context.machines.maintain(machine, task.wave, m_ledger.fence(), done);
+    else
+        m_context.machines.move(machine, task.toPool, m_ledger.fence(), done);
+}
+
 void MachineCoordinator::onOrdered(const std::string& machine, OrderOutcome outcome)
 {
     m_ordering.erase(machine);
@@ -298,18 +305,20 @@
 {
     LedgerBatch batch;
     const std::string table(controlTable);
-    for (const auto& id : m_changedTasks) {
+    // A wave's row counts a machine as done, so it goes out before the row of the machine's task goes.
+    for (const auto wave : m_changedWaves)
+        batch.writes.push_back(
+            { table, rows::waveKey(wave), encodeWave({ m_waveBegun[wave], m_state.waves[wave].done }) });
+    m_changedWaves.clear();
+    while (!m_changedTasks.empty() && batch.writes.size() < maxTransactionEntries - reservedEntries) {
+        const auto id = *m_changedTasks.begin();
+        m_changedTasks.erase(m_changedTasks.begin());
         const auto task = m_state.tasks.find(id);
         std::optional<std::string> text;
         if (task != m_state.tasks.end())
             text = encodeTask(task->second);
         batch.writes.push_back({ table, rows::machineKey(id), std::move(text) });
     }
-    for (const auto wave : m_changedWaves)
-        batch.writes.push_back(
-            { table, rows::waveKey(wave), encodeWave({ m_waveBegun[wave], m_state.waves[wave].done }) });
-    m_changedTasks.clear();
-    m_changedWaves.clear();
     return batch;
 }
 
@@ -327,6 +336,8 @@
         if (!m_changedWaves.contains(number))
             m_durableWaves.insert(number);
     }
+    if (!m_changedTasks.empty())
+        m_ledger.markDirty();
     pass();
 }
 
--- /dev/null
+++ b/src/libfleet/pool_ledger_test.cpp
@@ -0,0 +1,133 @@
+/// Transactions of a holder when answers are lost, late or refused, and the lease changes hands.
+#include "fakes_test.h"
+
+#include <damaskworks/job_directory.h>
+#include <damaskworks/pool_ledger.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damask;
+using namespace damask::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct LedgerFixture {
+    Loop loop;
+    SystemClock clock;
+    Metrics metrics;
+    FakeTable table { loop.base() };
+    std::string value = "first"; ///< written as the progress of job a1
+    bool written = false;
+    int failures = 0;
+    bool lost = false;
+    bool released = false;
+    std::unique_ptr<PoolLedger> ledger;
+
+    LedgerFixture()
+    {
+        const LeaseRow row { "n1", "s1", 0, 0 };
+        Version version = 0;
+        table.commit(leaseOf(row, 0), 1s, [&](TableResult<Version> result) { version = *result; });
+        loop.runUntil([&] { return version > 0; }, 1s);
+        ledger = std::make_unique<PoolLedger>(loop.base(), table, clock, metrics, "pricing",
+            TakenLease { row, version, clock.now() }, LeaseLimits {},
+            PoolLedger::Events { [this] { return batch(); },
+                [this](const LedgerBatch& done) { written = written || !done.jobs.empty(); },
+                [this](const LedgerBatch&) { ++failures; }, [] {}, [this] { lost = true; },
+                [this] { released = true; } });
+    }
+
+    static TableTransaction leaseOf(const LeaseRow& row, Version expected)
+    {
+        const std::string table(controlTable);
+        const std::string key(leaseKey);
+        return { rows::poolPart("pricing"), { { table, key, expected } },
+            { { table, key, encodeLease(row) } } };
+    }
+
+    LedgerBatch batch() const
+    {
+        if (written)
+            return {};
+        LedgerBatch out;
+        out.writes.push_back({ std::string(jobTable), rows::progressKey("a1"), value });
+        out.jobs.insert("a1");
+        return out;
+    }
+
+    std::string stored() const
+    {
+        const auto* row
+            = table.find(std::string(jobTable), rows::poolPart("pricing"), rows::progressKey("a1"));
+        return row ? row->value : "";
+    }
+
+    void write(const std::string& text)
+    {
+        value = text;
+        written = false;
+        ledger->markDirty();
+        BOOST_REQUIRE(loop.runUntil([&] { return written || lost; }, 5s));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(pool_ledger, LedgerFixture)
+
+BOOST_AUTO_TEST_CASE(lateTransactionCannotReplaceANewerOne)
+{
+    table.faults = { CommitFault::Late };
+    write("second");
+    BOOST_TEST(failures == 1);
+    BOOST_TEST(stored() == "second");
+    value = "changed by nobody";
+    BOOST_TEST(table.applyLate() == 0);
+    BOOST_TEST(stored() == "second");
+}
+
+BOOST_AUTO_TEST_CASE(renewalWhoseAnswerWasLostIsRecognized)
+{
+    // The transaction is late, then the renewal that voids it is done but not answered.
+    table.faults = { CommitFault::Late, CommitFault::Lost };
+    write("second");
+    BOOST_TEST(!lost);
+    BOOST_TEST(stored() == "second");
+    BOOST_TEST(table.applyLate() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(refusedTransactionIsRepeated)
+{
+    table.faults = { CommitFault::Refused, CommitFault::Refused };
+    write("second");
+    BOOST_TEST(failures >= 1);
+    BOOST_TEST(stored() == "second");
+}
+
+BOOST_AUTO_TEST_CASE(replacedHolderWritesNothing)
+{
+    const auto* row = table.find(std::string(controlTable), rows::poolPart("pricing"), std::string(leaseKey));
+    BOOST_REQUIRE(row);
+    bool taken = false;
+    table.commit(leaseOf({ "n2", "s2", 1, 0 }, row->version), 1s,
+        [&](TableResult<Version> result) { taken = result.has_value(); });
+    BOOST_REQUIRE(loop.runUntil([&] { return taken; }, 1s));
+    write("second");
+    BOOST_TEST(lost);
+    BOOST_TEST(!ledger->mayOrder());
+    BOOST_TEST(stored() == "");
+}
+
+BOOST_AUTO_TEST_CASE(releaseWritesWhatIsLeftAndFreesTheLease)
+{
+    ledger->markDirty();
+    ledger->release();
+    BOOST_TEST(!ledger->mayOrder());
+    BOOST_REQUIRE(loop.runUntil([&] { return released; }, 2s));
+    BOOST_TEST(stored() == "first");
+    const auto* row = table.find(std::string(controlTable), rows::poolPart("pricing"), std::string(leaseKey));
+    BOOST_TEST(decodeLease(row->value)->node == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -64,7 +64,9 @@
     const double perMachine = static_cast<double>(load->second.capacityCpu) / up;
     const int working = up - static_cast<int>(need.idle.size());
     const int wanted = static_cast<int>(std::ceil(wantedCpu(load->second, limits) / perMachine));
-    need.needs = std::max({ wanted, working, load->second.minMachines }) + limits.idleReserve;
+    // A large task may fit on none of the machines although there is room enough in all.
+    const int empty = static_cast<int>(std::ceil(static_cast<double>(load->second.unfitCpu) / perMachine));
+    need.needs = std::max({ wanted, working + empty, load->second.minMachines }) + limits.idleReserve;
     return need;
 }
 
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -110,8 +110,8 @@
     return json({ { "waitingCpu", load.waitingCpu }, { "waitingWork", load.waitingWork },
                     { "arrivingCpu", load.arrivingCpu }, { "usedCpu", load.usedCpu },
                     { "servingCpu", load.servingCpu }, { "waitingServingCpu", load.waitingServingCpu },
-                    { "minMachines", load.minMachines }, { "capacityCpu", load.capacityCpu },
-                    { "runs", load.runs }, { "empty", load.empty } })
+                    { "minMachines", load.minMachines }, { "unfitCpu", load.unfitCpu },
+                    { "capacityCpu", load.capacityCpu }, { "runs", load.runs }, { "empty", load.empty } })
         .dump();
 }
 
@@ -128,6 +128,7 @@
         load.arrivingCpu = value.at("arrivingCpu").get<std::int64_t>();
         load.servingCpu = value.at("servingCpu").get<std::int64_t>();
         load.waitingServingCpu = value.at("waitingServingCpu").get<std::int64_t>();
+        load.unfitCpu = value.at("unfitCpu").get<std::int64_t>();
         load.minMachines = value.at("minMachines").get<int>();
         load.capacityCpu = value.at("capacityCpu").get<std::int64_t>();
         load.runs = value.at("runs").get<std::map<std::string, int>>();
--- a/src/libscheduler/fleet_plan_test.cpp
+++ b/src/libscheduler/fleet_plan_test.cpp
@@ -145,6 +145,19 @@
     BOOST_TEST(planMoves(state, limits, clock.now()).empty());
 }
 
+BOOST_AUTO_TEST_CASE(largeTaskThatFitsBesideNothingGetsAnEmptyMachine)
+{
+    // Half of each machine is free, but the task needs three quarters of one.
+    auto& load = state.loads["a"];
+    for (const char* id : { "a0", "a1", "a2", "a3" })
+        load.runs[id] = 1;
+    load.usedCpu = load.servingCpu = 8'000;
+    load.waitingCpu = 3'000;
+    BOOST_TEST(planMoves(state, limits, clock.now()).size() == 1u);
+    load.unfitCpu = 3'000;
+    BOOST_TEST(planMoves(state, limits, clock.now()).size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(machinesOnTheirWayCountAsThere)
 {
     backlog("a", 4);
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -33,8 +33,27 @@
         markStopping(*task.run, now);
 }
 
+/// Room on each VM that takes work beside its long-running tasks; other tasks soon end.
+std::vector<Resources> roomBesideServing(const PoolState& state)
+{
+    std::vector<Resources> out;
+    for (const auto& [name, vm] : state.vms) {
+        if (!vm.listed || !vm.read || vm.silent || vm.evacuating || vm.entry.draining)
+            continue;
+        auto room = vm.entry.capacity;
+        for (const auto& run : vm.runs) {
+            const auto& step = stepOf(state.jobs.find(run.job)->second, run.step);
+            if (step.longRunning)
+                room -= reservedBy(step);
+        }
+        out.push_back(room);
+    }
+    return out;
+}
+
 /// Adds the tasks of an occurrence that could run but have no place.
-void addWaiting(PoolLoad& load, const JobEntry& job, const OccurrenceState& occurrence)
+void addWaiting(const std::vector<Resources>& rooms, PoolLoad& load, const JobEntry& job,
+    const OccurrenceState& occurrence)
 {
     for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
         const auto& step = stepOf(job, s);
@@ -51,6 +70,11 @@
             continue;
         }
         load.waitingCpu += cpu;
+        const auto need = reservedBy(step);
+        const bool fit = std::any_of(
+            rooms.begin(), rooms.end(), [&](const Resources& room) { return fits(need, room); });
+        if (!fit)
+            load.unfitCpu += cpu;
         load.waitingWork += cpu * step.estimate.count() / 1000;
     }
 }
@@ -94,6 +118,7 @@
 {
     PoolLoad load;
     load.arrivingCpu = arrivingCpu(state, now);
+    const auto rooms = roomBesideServing(state);
     for (const auto& [name, vm] : state.vms) {
         load.usedCpu += vm.used.cpu;
         if (vm.listed && vm.read && !vm.silent && !vm.evacuating && !vm.entry.draining)
@@ -113,7 +138,7 @@
         if (isFinal(job.state))
             continue;
         for (const auto& [number, occurrence] : job.occurrences)
-            addWaiting(load, job, occurrence);
+            addWaiting(rooms, load, job, occurrence);
     }
     return load;
 }
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -202,6 +202,20 @@
     BOOST_TEST(starts().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(loadTellsOfTasksThatFitOnNoVm)
+{
+    addVm("v1", 4000);
+    auto serving = step(1, 2000);
+    serving.longRunning = true;
+    submit("j1", { serving });
+    run();
+    submit("j2", { step(1, 3000) });
+    BOOST_TEST(starts().empty());
+    BOOST_TEST(loadOf(state, clock.now()).unfitCpu == 3000);
+    addVm("v2", 4000);
+    BOOST_TEST(loadOf(state, clock.now()).unfitCpu == 0);
+}
+
 BOOST_AUTO_TEST_CASE(unreadVmDoesNotCountAsIdle)
 {
     addVm("v1", 4000, "r1", false);
