Let strong nodes hold pools; start nothing on a stale directory

Change: a node's delay in the election grows with its weakness, 6 s per Mbit/s and 30 ms per core; a holder that has not heard of jobs for 2 s starts nothing. Left: a choked holder does not give its lease up.

--- a/src/include/damaskworks/deployment.h
+++ b/src/include/damaskworks/deployment.h
@@ -28,6 +28,8 @@
     milliseconds stopGrace { 0 }; ///< from SIGTERM to SIGKILL
     milliseconds maxLease { 0 }; ///< longest lease of a VM's tasks
     milliseconds stateKept { 0 }; ///< how long the state of an ended job can be asked for
+    double cpuShare = 1; ///< of a core
+    double linkMbps = 1000; ///< of the node's own link
     int rowBytes = 0; ///< largest value of a table row
 };
 
--- a/src/include/damaskworks/pool_election.h
+++ b/src/include/damaskworks/pool_election.h
@@ -26,7 +26,7 @@
     };
 
     PoolElection(event_base* base, SharedTable& table, const Clock& clock, std::string node,
-        std::string session, std::uint64_t seed, LeaseLimits limits, Events events);
+        std::string session, NodeStrength strength, std::uint64_t seed, LeaseLimits limits, Events events);
     ~PoolElection();
 
     /// Pools that need a holder.
@@ -46,6 +46,7 @@
     const Clock& m_clock;
     std::string m_node;
     std::string m_session;
+    NodeStrength m_strength;
     std::mt19937_64 m_random;
     LeaseLimits m_limits;
     Events m_events;
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -25,6 +25,8 @@
     EndpointControl& endpoints;
     MachineControl& machines;
     const JobDirectory& directory;
+    /// Whether the directory is up to date enough for starts.
+    std::function<bool()> jobsAreFresh;
 };
 
 /// Gives orders to the VMs of one pool and records what they report.
--- a/src/include/damaskworks/pool_lease.h
+++ b/src/include/damaskworks/pool_lease.h
@@ -46,8 +46,15 @@
 /// Whether the lease may be taken. The node's own earlier process has ended when a new one runs.
 bool isTakeable(const ObservedLease& lease, std::string_view node, const LeaseLimits& limits, TimePoint now);
 
-/// Delay before a node tries to take a free lease: the fewer pools it holds the shorter, so that
-/// pools spread over nodes; nodes that hold equally many differ by \p spread (0 to 1).
-std::chrono::milliseconds electionDelay(std::size_t heldPools, double spread);
+/// What a node has for the work of a holder.
+struct NodeStrength {
+    double cpuShare = 1; ///< of a core
+    double linkMbps = 1000;
+};
+
+/// Delay before a node tries to take a free lease: the fewer pools it holds and the stronger it is the
+/// shorter, so that pools spread over the nodes that can carry them; nodes that are alike differ by
+/// \p spread (0 to 1).
+std::chrono::milliseconds electionDelay(std::size_t heldPools, const NodeStrength& node, double spread);
 
 } // namespace damask::fleet
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -16,6 +16,9 @@
 /// Leases and registrations change every few hundred milliseconds; nothing is lost by reading
 /// several changes together.
 constexpr milliseconds slowGap { 250 };
+/// A holder that has not heard of new jobs and cancellations for this long starts nothing; calls for
+/// changes return within 1 s, and a cancelled job's tasks must not start 3 s later.
+constexpr milliseconds staleJobs { 2000 };
 constexpr milliseconds tickInterval { 250 };
 /// A node without an answer from the table for this long takes no new connections.
 constexpr milliseconds readyContact { 2500 };
@@ -54,7 +57,8 @@
           seed + 3)
     , m_vmRows(loop.base(), *m_adapter.table, clock, m_metrics,
           { m_adapter.codec->vmTable(), false, slowGap }, seed + 4)
-    , m_election(loop.base(), *m_adapter.table, clock, m_settings.node, m_session, seed + 5, m_leaseLimits,
+    , m_election(loop.base(), *m_adapter.table, clock, m_settings.node, m_session,
+          NodeStrength { m_settings.cpuShare, m_settings.linkMbps }, seed + 5, m_leaseLimits,
           { [this] { return !m_stopping && isReady() && hasContact(electionContact) && m_vmRows.isLoaded(); },
               [this] { return m_holders.size() + (m_coordinator ? 1 : 0); },
               [this](const std::string& pool, const TakenLease& lease) { onLeaseTaken(pool, lease); } })
@@ -250,8 +254,9 @@
         m_controlRows.setGap(promptGap);
         return beginHolders();
     }
+    auto jobsFresh = [this] { return m_clock.now() - m_jobRows.lastContact() < staleJobs; };
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
-        *m_adapter.machines, m_directory };
+        *m_adapter.machines, m_directory, jobsFresh };
     m_holders[pool] = std::make_unique<PoolHolder>(context, pool, lease, m_leaseLimits, m_settings.maxLease,
         [this, pool] { m_endedHolders.push_back(pool); });
     m_jobRows.setGap(promptGap);
--- a/src/libfleet/pool_election.cpp
+++ b/src/libfleet/pool_election.cpp
@@ -15,11 +15,12 @@
 } // namespace
 
 PoolElection::PoolElection(event_base* base, SharedTable& table, const Clock& clock, std::string node,
-    std::string session, std::uint64_t seed, LeaseLimits limits, Events events)
+    std::string session, NodeStrength strength, std::uint64_t seed, LeaseLimits limits, Events events)
     : m_table(table)
     , m_clock(clock)
     , m_node(std::move(node))
     , m_session(std::move(session))
+    , m_strength(strength)
     , m_random(seed)
     , m_limits(limits)
     , m_events(std::move(events))
@@ -72,7 +73,8 @@
         auto [attempt, added] = m_attempts.try_emplace(pool);
         if (added) {
             const double spread = std::uniform_real_distribution<>(0, 1)(m_random);
-            attempt->second = now + electionDelay(m_events.heldPools() + m_attempts.size() - 1, spread);
+            attempt->second
+                = now + electionDelay(m_events.heldPools() + m_attempts.size() - 1, m_strength, spread);
         }
         if (now >= attempt->second)
             take(pool);
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -180,7 +180,8 @@
     expireLeases(m_state, now);
     planEvacuations(m_state, now);
     sendStops(now);
-    sendStarts(now);
+    if (m_context.jobsAreFresh())
+        sendStarts(now);
     sendHolds(now);
     forgetEnded();
     markDirtyIfNeeded();
--- a/src/libfleet/pool_lease.cpp
+++ b/src/libfleet/pool_lease.cpp
@@ -1,5 +1,6 @@
 #include <damaskworks/pool_lease.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace damask::fleet {
@@ -12,6 +13,11 @@
 /// Above the time that a transaction takes, so that a node with fewer pools is through first.
 constexpr milliseconds delayPerHeldPool { 120 };
 constexpr milliseconds delaySpread { 100 };
+/// Delay of a node with one core; one with a tenth waits ten times as long.
+constexpr milliseconds delayPerCore { 30 };
+/// Delay of a node with a link of 1 Mbit/s. A holder's orders and reports come to several Mbit/s at
+/// the sizes of the grown sites, so that a link of 10 should hold a pool only when no other node can.
+constexpr milliseconds delayPerMbps { 6000 };
 
 } // namespace
 
@@ -42,9 +48,12 @@
     return now - lease.changedAt >= limits.expiry;
 }
 
-milliseconds electionDelay(std::size_t heldPools, double spread)
+milliseconds electionDelay(std::size_t heldPools, const NodeStrength& node, double spread)
 {
-    return delayPerHeldPool * static_cast<int>(heldPools)
+    const auto weakness
+        = std::chrono::duration<double, std::milli>(delayPerCore) / std::max(node.cpuShare, 0.01)
+        + std::chrono::duration<double, std::milli>(delayPerMbps) / std::max(node.linkMbps, 1.0);
+    return std::chrono::duration_cast<milliseconds>(weakness) + delayPerHeldPool * static_cast<int>(heldPools)
         + std::chrono::duration_cast<milliseconds>(delaySpread * spread);
 }
 
