Size of a pool's machines from those that work

Cause: the size of a machine was the capacity of the VMs that take work over all machines that are up, so while many were arriving a pool asked for several times what it needed.

--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -111,7 +111,8 @@
                     { "arrivingCpu", load.arrivingCpu }, { "usedCpu", load.usedCpu },
                     { "servingCpu", load.servingCpu }, { "waitingServingCpu", load.waitingServingCpu },
                     { "minMachines", load.minMachines }, { "unfitCpu", load.unfitCpu },
-                    { "capacityCpu", load.capacityCpu }, { "runs", load.runs }, { "empty", load.empty } })
+                    { "capacityCpu", load.capacityCpu }, { "workingMachines", load.workingMachines },
+                    { "runs", load.runs }, { "empty", load.empty } })
         .dump();
 }
 
@@ -128,6 +129,7 @@
         load.arrivingCpu = value.at("arrivingCpu").get<std::int64_t>();
         load.servingCpu = value.at("servingCpu").get<std::int64_t>();
         load.waitingServingCpu = value.at("waitingServingCpu").get<std::int64_t>();
+        load.workingMachines = value.at("workingMachines").get<int>();
         load.unfitCpu = value.at("unfitCpu").get<std::int64_t>();
         load.minMachines = value.at("minMachines").get<int>();
         load.capacityCpu = value.at("capacityCpu").get<std::int64_t>();
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -121,8 +121,10 @@
     const auto rooms = roomBesideServing(state);
     for (const auto& [name, vm] : state.vms) {
         load.usedCpu += vm.used.cpu;
-        if (vm.listed && vm.read && !vm.silent && !vm.evacuating && !vm.entry.draining)
+        if (vm.listed && vm.read && !vm.silent && !vm.evacuating && !vm.entry.draining) {
             load.capacityCpu += vm.entry.capacity.cpu;
+            ++load.workingMachines;
+        }
         for (const auto& run : vm.runs) {
             const auto& step = stepOf(state.jobs.find(run.job)->second, run.step);
             if (step.longRunning)
