--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -84,8 +84,6 @@
     std::map<std::string, MachineTask> tasks; ///< by machine
     std::map<std::int64_t, WaveState> waves;
     std::map<std::string, TimePoint> movedAt; ///< by machine, end of its last task
-    std::map<std::string, TimePoint> lastPeak; ///< by pool, when it last needed a peak's machines
-    int peakNeed = 0; ///< most machines that a pool has needed
     std::set<std::pair<std::string, std::string>> refusedMoves; ///< machine and pool
 };
 
@@ -103,12 +101,6 @@
     double headroom = 1.25;
     /// Machines without work that a pool keeps; its next jobs start there.
     int idleReserve = 1;
-    /// Part of the most that a pool has needed at which its demand counts as a peak.
-    double peakShare = 0.5;
-    /// A peak is above this many times an even split of the machines.
-    double peakOverEven = 1.2;
-    /// Part of a peak's machines that idle ones are sent ahead to, for the pool whose turn comes next.
-    double aheadShare = 0.0;
     /// A machine stays in its pool this long after it came.
     milliseconds shortestStay { 3000 };
 };
@@ -118,11 +110,6 @@
 /// Moves of machines to pools that need them: those that are off first, then machines without work
 /// of pools that have more than they need.
 std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now);
-/// Notes which pools have a peak of demand now.
-void notePeaks(FleetState& state, const FleetLimits& limits, TimePoint now);
-/// Moves of idle machines that no pool needs to the pools whose peak is the longest ago: demand goes
-/// round by turns, so theirs comes next.
-std::vector<MachineTask> planAhead(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// Whether the platform may be told to carry out the task.
 bool mayOrder(const FleetState& state, const MachineTask& task);
 /// Whether the machine is back: it runs another VM than before, or its pool's VMs are off.
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -169,11 +169,8 @@
 {
     for (auto& task : planMaintenance(m_state, m_limits, now))
         beginTask(std::move(task));
-    notePeaks(m_state, m_limits, now);
     for (auto& task : planMoves(m_state, m_limits, now))
         beginTask(std::move(task));
-    for (auto& task : planAhead(m_state, m_limits, now))
-        beginTask(std::move(task));
     if (!m_changedTasks.empty())
         m_ledger.markDirty();
 }
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 
 namespace damask::fleet {
 namespace {
@@ -91,26 +90,6 @@
     return pools;
 }
 
-/// Pools that do not peak and whose last peak is the longest ago. Before every pool has had one these
-/// are the pools without.
-std::vector<std::string> nextToPeak(
-    const FleetState& state, const std::vector<PoolNeed>& pools, TimePoint now)
-{
-    std::vector<std::string> next;
-    std::optional<TimePoint> oldest;
-    for (const auto& pool : pools) {
-        const auto found = state.lastPeak.find(pool.name);
-        const auto last = found == state.lastPeak.end() ? TimePoint {} : found->second;
-        if (last == now || (oldest && last > *oldest))
-            continue;
-        if (!oldest || last < *oldest)
-            next.clear();
-        oldest = last;
-        next.push_back(pool.name);
-    }
-    return next;
-}
-
 } // namespace
 
 std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now)
@@ -137,53 +116,4 @@
     return out;
 }
 
-void notePeaks(FleetState& state, const FleetLimits& limits, TimePoint now)
-{
-    const auto pools = needsOf(state, limits, now);
-    if (pools.empty())
-        return;
-    const double even = static_cast<double>(state.machines.size()) / static_cast<double>(pools.size());
-    for (const auto& pool : pools)
-        state.peakNeed
-            = std::max(state.peakNeed, std::min(pool.needs, static_cast<int>(state.machines.size())));
-    for (const auto& pool : pools) {
-        if (pool.needs >= state.peakNeed * limits.peakShare && pool.needs >= even * limits.peakOverEven)
-            state.lastPeak[pool.name] = now;
-    }
-}
-
-std::vector<MachineTask> planAhead(const FleetState& state, const FleetLimits& limits, TimePoint now)
-{
-    std::vector<MachineTask> out;
-    const auto pools = needsOf(state, limits, now);
-    // While a pool lacks machines the others have none to send ahead.
-    if (state.lastPeak.empty() || std::any_of(pools.begin(), pools.end(), [](const PoolNeed& pool) {
-            return pool.needs > pool.has;
-        }))
-        return out;
-    const auto next = nextToPeak(state, pools, now);
-    std::vector<const Machine*> available;
-    for (const auto& pool : pools) {
-        if (std::find(next.begin(), next.end(), pool.name) != next.end())
-            continue;
-        const int surplus = pool.has - pool.needs;
-        for (int i = 0; i < surplus && i < static_cast<int>(pool.idle.size()); ++i)
-            available.push_back(pool.idle[static_cast<std::size_t>(i)]);
-    }
-    auto machine = available.begin();
-    for (const auto& pool : pools) {
-        if (std::find(next.begin(), next.end(), pool.name) == next.end())
-            continue;
-        const int target
-            = static_cast<int>(state.peakNeed * limits.aheadShare / static_cast<double>(next.size()));
-        for (int missing = target - pool.has; missing > 0 && machine != available.end(); ++machine) {
-            if (state.refusedMoves.contains({ (*machine)->id, pool.name }))
-                continue;
-            out.push_back({ (*machine)->id, MachineAction::Move, 0, pool.name, (*machine)->vm });
-            --missing;
-        }
-    }
-    return out;
-}
-
 } // namespace damask::fleet
--- a/src/libscheduler/fleet_plan_test.cpp
+++ b/src/libscheduler/fleet_plan_test.cpp
@@ -159,33 +159,6 @@
     BOOST_TEST(planMoves(state, limits, clock.now()).size() == 2u);
 }
 
-BOOST_AUTO_TEST_CASE(idleMachinesGoAheadToThePoolWhosePeakIsTheLongestAgo)
-{
-    state.config.pools["c"] = { "c", false, false };
-    state.loads["c"].capacityCpu = 16'000;
-    state.loads["c"].workingMachines = 4;
-    for (int i = 0; i < 4; ++i)
-        addMachine("c" + std::to_string(i), "c");
-    // Pool a had its peak and b has one now, so c comes next.
-    backlog("a", 20);
-    notePeaks(state, limits, clock.now());
-    state.loads["a"] = PoolLoad { .capacityCpu = 40'000, .workingMachines = 10 };
-    for (int i = 4; i < 10; ++i)
-        addMachine("a" + std::to_string(i), "a");
-    clock.advance(10s);
-    backlog("b", 0);
-    BOOST_TEST(planAhead(state, limits, clock.now()).empty());
-    state.loads["b"] = PoolLoad { .capacityCpu = 16'000, .workingMachines = 4 };
-    state.lastPeak["b"] = clock.now();
-    clock.advance(1s);
-    const auto moves = planAhead(state, limits, clock.now());
-    BOOST_REQUIRE(!moves.empty());
-    for (const auto& move : moves) {
-        BOOST_TEST(move.toPool == "c");
-        BOOST_TEST(state.machines[move.machine].pool != "c");
-    }
-}
-
 BOOST_AUTO_TEST_CASE(machinesOnTheirWayCountAsThere)
 {
     backlog("a", 4);
