Spread pools over nodes that look for leases at the same time

Ruled out: slow takeover (0.3 s above the expiry). Change: a node that has taken a pool puts off its attempts at others by 250 ms a pool it holds; the interval at which leases are looked at is 200 ms. Test: poolsSpreadOverNodesThatStartTogether failed first (one node took 3 of 6).

--- a/src/include/damaskworks/pool_election.h
+++ b/src/include/damaskworks/pool_election.h
@@ -53,7 +53,12 @@
     Timer m_timer;
     std::set<std::string> m_pools;
     std::map<std::string, ObservedLease> m_leases;
-    std::map<std::string, TimePoint> m_attempts; ///< when a free lease is tried for
+    /// When a free lease is tried for, and how many pools the node held when that was decided.
+    struct Attempt {
+        TimePoint at {};
+        std::size_t held = 0;
+    };
+    std::map<std::string, Attempt> m_attempts;
     std::set<std::string> m_taking;
     std::uint64_t m_takes = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< false once destroyed
--- a/src/libfleet/pool_election.cpp
+++ b/src/libfleet/pool_election.cpp
@@ -70,13 +70,14 @@
             m_attempts.erase(pool);
             continue;
         }
-        auto [attempt, added] = m_attempts.try_emplace(pool);
-        if (added) {
+        const auto held = m_events.heldPools() + m_taking.size();
+        auto& attempt = m_attempts[pool];
+        // A node that has just taken another pool leaves this one to those that hold fewer.
+        if (attempt.at == TimePoint {} || attempt.held != held) {
             const double spread = std::uniform_real_distribution<>(0, 1)(m_random);
-            attempt->second
-                = now + electionDelay(m_events.heldPools() + m_attempts.size() - 1, m_strength, spread);
+            attempt = { now + electionDelay(held, m_strength, spread), held };
         }
-        if (now >= attempt->second)
+        if (now >= attempt.at)
             take(pool);
     }
 }
--- a/src/libfleet/pool_lease.cpp
+++ b/src/libfleet/pool_lease.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Above the time that a transaction takes, so that a node with fewer pools is through first.
-constexpr milliseconds delayPerHeldPool { 120 };
+/// Above the interval at which leases are looked at, so that a node with fewer pools is through first.
+constexpr milliseconds delayPerHeldPool { 250 };
 constexpr milliseconds delaySpread { 100 };
 /// Delay of a node with one core; one with a tenth waits ten times as long.
 constexpr milliseconds delayPerCore { 30 };
