Let pools past their peak give up machines that still work

Ruled out: the coordinator (it acted all the while), the platform's machine calls (accepted within 0.2 s). Change: a pool with more machines than it needs gives up those with the least work; what runs there is finished first, nothing new starts. Machines with long-running tasks stay.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -29,6 +29,7 @@
     std::int64_t capacityCpu = 0; ///< of the VMs that take work
     int workingMachines = 0; ///< number of these VMs
     std::map<std::string, int> runs; ///< runs by machine, without entries of zero
+    std::set<std::string> serving; ///< machines with long-running tasks, or not read yet
     std::set<std::string> empty; ///< machines that are emptied: nothing runs there and nothing will
     bool operator==(const PoolLoad&) const = default;
 };
@@ -107,8 +108,8 @@
 
 /// Machines of the waves whose maintenance begins now.
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now);
-/// Moves of machines to pools that need them: those that are off first, then machines without work
-/// of pools that have more than they need.
+/// Moves of machines to pools that need them: those that are off first, then machines with the least
+/// work of pools that have more than they need. Long-running tasks are not moved for this.
 std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// Whether the platform may be told to carry out the task.
 bool mayOrder(const FleetState& state, const MachineTask& task);
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -11,7 +11,7 @@
     std::string name;
     int has = 0; ///< machines that serve it or are on their way
     int needs = 0;
-    std::vector<const Machine*> idle; ///< machines without work that may go
+    std::vector<const Machine*> spare; ///< machines that may go, those with the least work first
 };
 
 bool isStandby(const FleetState& state, const std::string& pool)
@@ -46,6 +46,7 @@
     PoolNeed need { .name = pool };
     const auto load = state.loads.find(pool);
     int up = 0;
+    int staying = 0;
     for (const auto& [id, machine] : state.machines) {
         const auto task = state.tasks.find(id);
         const bool moves = task != state.tasks.end() && task->second.action == MachineAction::Move;
@@ -53,20 +54,26 @@
         if (machine.pool != pool || machine.state != MachineState::Up)
             continue;
         ++up;
-        const bool idle = load != state.loads.end() && !load->second.runs.contains(id);
-        if (idle && mayLeave(state, machine, limits, now))
-            need.idle.push_back(&machine);
+        const bool stays = load == state.loads.end() || load->second.serving.contains(id);
+        staying += stays;
+        if (!stays && mayLeave(state, machine, limits, now))
+            need.spare.push_back(&machine);
     }
     if (load == state.loads.end() || up == 0 || load->second.workingMachines == 0) {
         need.needs = need.has;
         return need;
     }
     const double perMachine = static_cast<double>(load->second.capacityCpu) / load->second.workingMachines;
-    const int working = up - static_cast<int>(need.idle.size());
+    const auto runsOn = [&](const Machine* machine) {
+        const auto runs = load->second.runs.find(machine->id);
+        return runs == load->second.runs.end() ? 0 : runs->second;
+    };
+    std::stable_sort(need.spare.begin(), need.spare.end(),
+        [&](const Machine* a, const Machine* b) { return runsOn(a) < runsOn(b); });
     const int wanted = static_cast<int>(std::ceil(wantedCpu(load->second, limits) / perMachine));
     // A large task may fit on none of the machines although there is room enough in all.
     const int empty = static_cast<int>(std::ceil(static_cast<double>(load->second.unfitCpu) / perMachine));
-    need.needs = std::max({ wanted, working + empty, load->second.minMachines }) + limits.idleReserve;
+    need.needs = std::max({ wanted, staying + empty, load->second.minMachines }) + limits.idleReserve;
     return need;
 }
 
@@ -98,8 +105,8 @@
     auto available = standbyMachines(state, limits, now);
     for (auto& pool : pools) {
         const int surplus = pool.has - pool.needs;
-        for (int i = 0; i < surplus && i < static_cast<int>(pool.idle.size()); ++i)
-            available.push_back(pool.idle[static_cast<std::size_t>(i)]);
+        for (int i = 0; i < surplus && i < static_cast<int>(pool.spare.size()); ++i)
+            available.push_back(pool.spare[static_cast<std::size_t>(i)]);
     }
     std::sort(pools.begin(), pools.end(),
         [](const PoolNeed& a, const PoolNeed& b) { return a.needs - a.has > b.needs - b.has; });
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -112,7 +112,7 @@
                     { "servingCpu", load.servingCpu }, { "waitingServingCpu", load.waitingServingCpu },
                     { "minMachines", load.minMachines }, { "unfitCpu", load.unfitCpu },
                     { "capacityCpu", load.capacityCpu }, { "workingMachines", load.workingMachines },
-                    { "runs", load.runs }, { "empty", load.empty } })
+                    { "runs", load.runs }, { "serving", load.serving }, { "empty", load.empty } })
         .dump();
 }
 
@@ -134,6 +134,7 @@
         load.minMachines = value.at("minMachines").get<int>();
         load.capacityCpu = value.at("capacityCpu").get<std::int64_t>();
         load.runs = value.at("runs").get<std::map<std::string, int>>();
+        load.serving = value.at("serving").get<std::set<std::string>>();
         load.empty = value.at("empty").get<std::set<std::string>>();
         return load;
     } catch (const json::exception&) {
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -127,12 +127,16 @@
         }
         for (const auto& run : vm.runs) {
             const auto& step = stepOf(state.jobs.find(run.job)->second, run.step);
-            if (step.longRunning)
-                load.servingCpu += reservedBy(step).cpu;
+            if (!step.longRunning)
+                continue;
+            load.servingCpu += reservedBy(step).cpu;
+            load.serving.insert(vm.entry.machine);
         }
         // What an unread VM runs is not known, so it is no machine without work.
         if (!vm.runs.empty() || !vm.read)
             load.runs[vm.entry.machine] = std::max(1, static_cast<int>(vm.runs.size()));
+        if (!vm.read)
+            load.serving.insert(vm.entry.machine);
         if (vm.evacuating && vm.read && vm.runs.empty() && vm.strangers.empty())
             load.empty.insert(vm.entry.machine);
     }
