--- a/src/include/damaskworks/endpoint_control.h
+++ b/src/include/damaskworks/endpoint_control.h
@@ -46,6 +46,15 @@
     Alone, ///< the other members of the gang did not come in time
 };
 
+inline constexpr NameTable<EndKind, 6> endKindNames { {
+    { EndKind::Done, "done" },
+    { EndKind::Failed, "failed" },
+    { EndKind::Stopped, "stopped" },
+    { EndKind::Lapsed, "lapsed" },
+    { EndKind::Broken, "broken" },
+    { EndKind::Alone, "alone" },
+} };
+
 /// The end of a run, listed by the VM until it is acknowledged.
 struct EndReport {
     std::uint64_t number = 0; ///< rises within one boot of the VM
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -14,7 +14,8 @@
 constexpr milliseconds longestAttempt { 900 };
 /// Below this an attempt is not worth starting.
 constexpr milliseconds shortestAttempt { 60 };
-constexpr milliseconds retryPause { 60 };
+constexpr milliseconds retryPause { 60 }; ///< grows with each attempt
+constexpr milliseconds longestRetryPause { 400 };
 /// Attempts that the table turned away before a submission is refused: one repetition catches a
 /// passing refusal, more would only make the refusal late.
 constexpr int refusedAttempts = 2;
@@ -118,7 +119,7 @@
 {
     // The timer keeps the call alive; the answer or the next retry, both made later, drop it.
     call->timer = std::make_unique<Timer>(m_context.base, [this, call, step] { (this->*step)(call); });
-    call->timer->startOnce(retryPause);
+    call->timer->startOnce(std::min(retryPause * call->attempts, longestRetryPause));
 }
 
 void CallerService::submit(const CallPointer& call)
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -335,7 +335,7 @@
             continue;
         logEvent(LogLevel::Info, "task_end",
             { { "task", toString(end.task) }, { "run", std::to_string(end.run) }, { "vm", name },
-                { "kind", std::to_string(static_cast<int>(end.kind)) } });
+                { "kind", std::string(nameOf(endKindNames, end.kind)) } });
     }
     sendPaces(name, now);
     if (vm.applied > vm.acknowledged)
