Keep pools off weak nodes although held pools delay more

Cause: strongNodesTakePoolsBeforeWeakOnes failed after the delay for a held pool rose from 120 to 250 ms; an earlier check of the test printed nothing and was read as a pass. Change: the delay of a weak link is 10 s per Mbit/s.

--- a/src/libfleet/pool_lease.cpp
+++ b/src/libfleet/pool_lease.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds delayPerCore { 30 };
 /// Delay of a node with a link of 1 Mbit/s. A holder's orders and reports come to several Mbit/s at
 /// the sizes of the grown sites, so that a link of 10 should hold a pool only when no other node can.
-constexpr milliseconds delayPerMbps { 6000 };
+constexpr milliseconds delayPerMbps { 10000 };
 
 } // namespace
 
