Wait in leaving_test for what both entry VMs know

Cause: the wait ended as soon as one probe of 8 requests missed e2. Ruled out: a daemon late beyond the 5 s target (each knew within a second). Other waits with eventually() were read: they ask for generations, phases, metrics or rows, not for the luck of a probe. Change: the wait ends when each entry VM's own metrics show one endpoint in use. The 5 checks after it are as before; the test is stricter, since they now always begin with both knowing.

--- a/testsuite/requests/leaving_test.cpp
+++ b/testsuite/requests/leaving_test.cpp
@@ -33,6 +33,18 @@
         fleet.loop().runUntil([&] { return ended == requests; }, 15s);
         return fleet.runsOf(endpoint).size() > before;
     }
+
+    /// Whether each entry VM, by its own metrics, sends work to just \p count endpoints. They read the
+    /// list apart from each other, so that one may know of a change before the other does.
+    bool eachSendsTo(int count)
+    {
+        const auto line = "\ndamask_pool_endpoints{pool=\"pricing\"} " + std::to_string(count) + "\n";
+        const auto knows = [&](const char* node) {
+            const auto result = fleet.call(fleet.daemon(node).admin, { "GET", "/metrics" });
+            return result && result->body.find(line) != std::string::npos;
+        };
+        return knows("a") && knows("b");
+    }
 };
 
 } // namespace
@@ -40,7 +52,7 @@
 BOOST_FIXTURE_TEST_CASE(vmMissingFromTheListGetsNoNewWork, Leaving)
 {
     fleet.publishList({ "e2" });
-    BOOST_TEST(fleet.eventually([&] { return !gets("e2"); }, target));
+    BOOST_TEST(fleet.eventually([&] { return eachSendsTo(1); }, target));
     for (int i = 0; i < 5; ++i)
         BOOST_TEST(!gets("e2"));
     fleet.publishList();
