Keep a holder for pools whose queue has gone elsewhere

Ruled out: moving the jobs to the new pool; tasks that run would be lost, and the old pool may finish them. Change: pools with jobs that have not ended keep a holder; the job's row holds the attempts that its queue allowed. Rows of jobs leave out default values, since every node reads each of them.

--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -48,6 +49,8 @@
     void applyConfig(const TableRow& row);
     void applyVmRow(const TableRow& row);
     void applyVmReset(const std::vector<TableRow>& rows);
+    /// Tells the election which pools need a holder: those of queues, and those with jobs left.
+    void updatePools();
     void removeVm(const std::string& id);
     void applyWave(const TableRow& row);
     void applyControl();
@@ -76,6 +79,7 @@
     std::shared_ptr<const FleetConfig> m_config;
     std::map<std::string, VmEntry> m_vms;
     std::map<std::int64_t, WaveRequest> m_waves;
+    std::set<std::string> m_pools; ///< that need a holder
     FleetRows m_fleetRows;
     std::unique_ptr<MachineCoordinator> m_coordinator;
     bool m_coordinatorEnded = false;
--- a/src/include/damaskworks/job.h
+++ b/src/include/damaskworks/job.h
@@ -79,6 +79,7 @@
     WallTime firstDue { 0 };
     milliseconds period { 0 };
     WallTime acceptedAt { 0 };
+    int maxAttempts = 1; ///< of the queue at the time of acceptance; counts once the queue is gone
 };
 
 /// Names one task of a job.
--- a/src/include/damaskworks/job_directory.h
+++ b/src/include/damaskworks/job_directory.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -64,13 +65,16 @@
     const std::unordered_map<std::string, JobRecord>& records() const { return m_records; }
     /// Accepted jobs of a queue of which no task has started.
     std::size_t pending(std::string_view queue) const;
+    /// Pools with jobs that have not ended. A queue routed elsewhere leaves such jobs behind.
+    std::set<std::string> poolsWithWork() const;
 
 private:
     void applyTo(JobRecord& record, const TableRow& row);
     void count(const JobRecord& record, int amount);
 
     std::unordered_map<std::string, JobRecord> m_records;
-    std::map<std::string, std::size_t, std::less<>> m_pending;
+    std::map<std::string, std::size_t, std::less<>> m_pending; ///< by queue
+    std::map<std::string, std::size_t> m_unfinished; ///< by pool
     Listener m_listener;
 };
 
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -136,6 +136,7 @@
     call->job.id = call->id;
     call->job.queue = call->queue.name;
     call->job.pool = call->queue.pool;
+    call->job.maxAttempts = call->queue.maxAttempts;
     call->job.acceptedAt = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
     commitJob(call);
 }
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -131,6 +131,7 @@
         [this](const TableRow& row) { m_directory.apply(row); },
         [this] {
             m_callers.setDirectoryLoaded(m_jobRows.isLoaded());
+            updatePools();
             beginHolders();
         });
     m_vmRows.listen([this](const std::vector<TableRow>& rows) { applyVmReset(rows); },
@@ -186,16 +187,25 @@
         { { "version", std::to_string(m_config->version) },
             { "queues", std::to_string(m_config->queues.size()) } });
     m_callers.setConfig(m_config);
-    std::set<std::string> pools { std::string(coordinatorPool) };
-    for (const auto& queue : m_config->queues)
-        pools.insert(queue.pool);
-    m_election.setPools(std::move(pools));
+    updatePools();
     for (auto& [pool, holder] : m_holders)
         holder->applyConfig(*m_config);
     if (m_coordinator)
         m_coordinator->applyConfig(*m_config);
 }
 
+void FleetNode::updatePools()
+{
+    if (!m_config)
+        return;
+    auto pools = m_directory.poolsWithWork();
+    pools.insert(std::string(coordinatorPool));
+    for (const auto& queue : m_config->queues)
+        pools.insert(queue.pool);
+    if (pools != m_pools)
+        m_election.setPools(m_pools = std::move(pools));
+}
+
 void FleetNode::removeVm(const std::string& id)
 {
     auto found = m_vms.find(id);
--- a/src/libfleet/job_directory.cpp
+++ b/src/libfleet/job_directory.cpp
@@ -37,8 +37,13 @@
 
 void JobDirectory::count(const JobRecord& record, int amount)
 {
-    if (record.isAccepted() && record.shownState() == JobState::Queued)
+    if (!record.isAccepted())
+        return;
+    if (record.shownState() == JobState::Queued)
         m_pending[record.queue] += static_cast<std::size_t>(amount);
+    // A cancelled job's tasks still have to be stopped, until its holder has recorded its end.
+    if (!isFinal(record.state))
+        m_unfinished[record.pool] += static_cast<std::size_t>(amount);
 }
 
 void JobDirectory::applyTo(JobRecord& record, const TableRow& row)
@@ -95,6 +100,7 @@
 {
     m_records.clear();
     m_pending.clear();
+    m_unfinished.clear();
     // Rows of one job come in any order, so listeners are told once all are in.
     const auto listener = std::exchange(m_listener, nullptr);
     for (const auto& row : rows)
@@ -120,4 +126,14 @@
     return found == m_pending.end() ? 0 : found->second;
 }
 
+std::set<std::string> JobDirectory::poolsWithWork() const
+{
+    std::set<std::string> out;
+    for (const auto& [pool, jobs] : m_unfinished) {
+        if (jobs > 0)
+            out.insert(pool);
+    }
+    return out;
+}
+
 } // namespace damask::fleet
--- a/src/libscheduler/job.cpp
+++ b/src/libscheduler/job.cpp
@@ -9,37 +9,57 @@
 
 using nlohmann::json;
 
+/// Adds a member unless it has its default value. Every node reads the row of every job, so rows are short.
+template <typename T> void put(json& out, const char* name, const T& value, const T& standard = T())
+{
+    if (value != standard)
+        out[name] = value;
+}
+
 json toJson(const StepSpec& step)
 {
-    return { { "count", step.count }, { "cpu", step.need.cpu }, { "memory", step.need.memoryMb },
-        { "gpu", step.need.gpu }, { "estimate", step.estimate.count() }, { "after", step.after },
-        { "checkpoints", step.checkpoints }, { "gang", step.gang }, { "sameRack", step.sameRack },
-        { "speculative", step.speculative }, { "longRunning", step.longRunning }, { "filler", step.filler },
-        { "label", step.requiredLabel }, { "rack", step.preferredRack }, { "image", step.image },
-        { "maxPerVm", step.maxPerVm }, { "latencyTarget", step.latencyTarget.count() },
-        { "maxUnavailable", step.maxUnavailable } };
+    json out = json::object();
+    put(out, "count", step.count, 1);
+    put(out, "cpu", step.need.cpu);
+    put(out, "memory", step.need.memoryMb);
+    put(out, "gpu", step.need.gpu);
+    put(out, "estimate", step.estimate.count());
+    put(out, "after", step.after);
+    put(out, "checkpoints", step.checkpoints);
+    put(out, "gang", step.gang);
+    put(out, "sameRack", step.sameRack);
+    put(out, "speculative", step.speculative);
+    put(out, "longRunning", step.longRunning);
+    put(out, "filler", step.filler);
+    put(out, "label", step.requiredLabel);
+    put(out, "rack", step.preferredRack);
+    put(out, "image", step.image);
+    put(out, "maxPerVm", step.maxPerVm);
+    put(out, "latencyTarget", step.latencyTarget.count());
+    put(out, "maxUnavailable", step.maxUnavailable);
+    return out;
 }
 
 StepSpec stepFromJson(const json& value)
 {
     StepSpec step;
-    step.count = value.at("count").get<int>();
-    step.need = { value.at("cpu").get<std::int64_t>(), value.at("memory").get<std::int64_t>(),
-        value.at("gpu").get<std::int64_t>() };
-    step.estimate = milliseconds(value.at("estimate").get<std::int64_t>());
-    step.after = value.at("after").get<std::vector<int>>();
-    step.checkpoints = value.at("checkpoints").get<bool>();
-    step.gang = value.at("gang").get<bool>();
-    step.sameRack = value.at("sameRack").get<bool>();
-    step.speculative = value.at("speculative").get<bool>();
-    step.longRunning = value.at("longRunning").get<bool>();
-    step.filler = value.at("filler").get<bool>();
-    step.requiredLabel = value.at("label").get<std::string>();
-    step.preferredRack = value.at("rack").get<std::string>();
-    step.image = value.at("image").get<std::string>();
-    step.maxPerVm = value.at("maxPerVm").get<int>();
-    step.latencyTarget = milliseconds(value.at("latencyTarget").get<std::int64_t>());
-    step.maxUnavailable = value.at("maxUnavailable").get<int>();
+    step.count = value.value("count", 1);
+    step.need = { value.value("cpu", std::int64_t(0)), value.value("memory", std::int64_t(0)),
+        value.value("gpu", std::int64_t(0)) };
+    step.estimate = milliseconds(value.value("estimate", std::int64_t(0)));
+    step.after = value.value("after", std::vector<int>());
+    step.checkpoints = value.value("checkpoints", false);
+    step.gang = value.value("gang", false);
+    step.sameRack = value.value("sameRack", false);
+    step.speculative = value.value("speculative", false);
+    step.longRunning = value.value("longRunning", false);
+    step.filler = value.value("filler", false);
+    step.requiredLabel = value.value("label", "");
+    step.preferredRack = value.value("rack", "");
+    step.image = value.value("image", "");
+    step.maxPerVm = value.value("maxPerVm", 0);
+    step.latencyTarget = milliseconds(value.value("latencyTarget", std::int64_t(0)));
+    step.maxUnavailable = value.value("maxUnavailable", 0);
     return step;
 }
 
@@ -88,9 +108,11 @@
     json steps = json::array();
     for (const auto& step : job.steps)
         steps.push_back(toJson(step));
-    const json value = { { "id", job.id }, { "queue", job.queue }, { "pool", job.pool }, { "spec", job.spec },
-        { "steps", steps }, { "occurrences", job.occurrences }, { "firstDue", job.firstDue.count() },
-        { "period", job.period.count() }, { "acceptedAt", job.acceptedAt.count() } };
+    json value = { { "id", job.id }, { "queue", job.queue }, { "pool", job.pool }, { "spec", job.spec },
+        { "steps", steps }, { "attempts", job.maxAttempts }, { "acceptedAt", job.acceptedAt.count() } };
+    put(value, "occurrences", job.occurrences);
+    put(value, "firstDue", job.firstDue.count());
+    put(value, "period", job.period.count());
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -107,9 +129,10 @@
         job.spec = value.at("spec").get<std::string>();
         for (const auto& step : value.at("steps"))
             job.steps.push_back(stepFromJson(step));
-        job.occurrences = value.at("occurrences").get<int>();
-        job.firstDue = WallTime(value.at("firstDue").get<std::int64_t>());
-        job.period = milliseconds(value.at("period").get<std::int64_t>());
+        job.maxAttempts = value.at("attempts").get<int>();
+        job.occurrences = value.value("occurrences", 0);
+        job.firstDue = WallTime(value.value("firstDue", std::int64_t(0)));
+        job.period = milliseconds(value.value("period", std::int64_t(0)));
         job.acceptedAt = WallTime(value.at("acceptedAt").get<std::int64_t>());
         return job;
     } catch (const json::exception&) {
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -71,7 +71,8 @@
         return;
     job.dirty = task.failedRuns.insert(run).second || job.dirty;
     const auto queue = state.queues.find(job.spec.queue);
-    const int limit = queue == state.queues.end() ? 1 : std::max(queue->second.maxAttempts, 1);
+    const int limit
+        = std::max(queue == state.queues.end() ? job.spec.maxAttempts : queue->second.maxAttempts, 1);
     if (static_cast<int>(task.failedRuns.size()) < limit || isFinal(job.state))
         return;
     job.state = JobState::Failed;
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -341,4 +341,20 @@
     BOOST_TEST(planStops(state, clock.now()).size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(jobOfARemovedQueueKeepsItsAttempts)
+{
+    addVm("v1");
+    auto spec = job("j1", { step(1) });
+    spec.maxAttempts = 2;
+    addJob(state, spec, "", false);
+    state.queues.clear();
+    const auto first = run();
+    report("v1", { end(1, first[0], EndKind::Failed) });
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Running));
+    const auto second = run();
+    BOOST_REQUIRE(second.size() == 1u);
+    report("v1", { end(2, second[0], EndKind::Failed) });
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Failed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
