Serve queues whose steps need leave from the advice service

Change: a step that waits without a VM that has a valid ticket has the service asked about up to 30 VMs, best place first, one question of a pool at a time; VMs that are not allowed are not asked about again, tickets are renewed when they expire or are rejected.

--- a/src/include/damaskworks/adapter.h
+++ b/src/include/damaskworks/adapter.h
@@ -64,6 +64,7 @@
     std::unique_ptr<SharedTable> table;
     std::unique_ptr<EndpointControl> endpoints;
     std::unique_ptr<MachineControl> machines;
+    std::unique_ptr<AdviceControl> advice;
 };
 
 /// An adapter plug-in.
--- a/src/include/damaskworks/deployment.h
+++ b/src/include/damaskworks/deployment.h
@@ -33,6 +33,13 @@
     int rowBytes = 0; ///< largest value of a table row
 };
 
+/// How the advice service treats the steps of a queue.
+struct AdviceTerms {
+    milliseconds decision { 0 }; ///< an answer takes this long ...
+    milliseconds perVm { 0 }; ///< ... and this much more for each VM asked about
+    milliseconds validFor { 0 }; ///< of a ticket
+};
+
 /// A queue of jobs.
 struct Queue {
     std::string name;
@@ -44,7 +51,7 @@
     double stretch = 1; ///< objective: this many times the job's longest chain ...
     milliseconds latencyTarget { 0 }; ///< ... and this much more
     milliseconds timeout { 0 }; ///< longest time for one request
-    bool needsAdvice = false;
+    std::optional<AdviceTerms> advice; ///< set: only VMs with a ticket may run its steps
 };
 
 /// A pool of VMs.
--- a/src/include/damaskworks/endpoint_control.h
+++ b/src/include/damaskworks/endpoint_control.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -140,6 +141,23 @@
         = 0;
 };
 
+/// What the advice service answers about a step.
+struct Advice {
+    std::map<std::string, std::string> tickets; ///< by VM; the others asked about may not run the step
+    milliseconds validFor { 0 };
+};
+
+/// Client of the service that knows which VMs may run a step.
+class AdviceControl {
+public:
+    using AdviceCallback = std::function<void(tl::expected<Advice, OrderOutcome>)>;
+    virtual ~AdviceControl() = default;
+    /// Asks about at most 100 VMs; \p expected is how long the service works on the answer.
+    virtual void ask(const StepId& step, const std::vector<std::string>& vms, milliseconds expected,
+        AdviceCallback callback)
+        = 0;
+};
+
 /// States of a machine.
 enum class MachineState { Up, Moving, Maintenance, Down };
 
--- a/src/include/damaskworks/job.h
+++ b/src/include/damaskworks/job.h
@@ -82,6 +82,17 @@
     int maxAttempts = 1; ///< of the queue at the time of acceptance; counts once the queue is gone
 };
 
+/// Names one step of an occurrence of a job.
+struct StepId {
+    std::string job;
+    int occurrence = 0;
+    int step = 0;
+    auto operator<=>(const StepId&) const = default;
+};
+
+/// `JOB.OCCURRENCE.STEP`.
+std::string toString(const StepId& step);
+
 /// Names one task of a job.
 struct TaskId {
     std::string job;
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -7,6 +7,7 @@
 #include <damaskworks/job_directory.h>
 #include <damaskworks/pool_ledger.h>
 #include <damaskworks/pool_state.h>
+#include <damaskworks/step_advisor.h>
 
 #include <functional>
 #include <map>
@@ -24,6 +25,7 @@
     SharedTable& table;
     EndpointControl& endpoints;
     MachineControl& machines;
+    AdviceControl& advice;
     const JobDirectory& directory;
     /// Whether the directory is up to date enough for starts.
     std::function<bool()> jobsAreFresh;
@@ -90,6 +92,7 @@
     milliseconds m_maxVmLease;
     std::function<void()> m_onEnd;
     PoolLedger m_ledger;
+    StepAdvisor m_advisor;
     Timer m_passTimer;
     TimePoint m_passAt {};
     bool m_passPlanned = false;
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -49,10 +49,25 @@
     std::optional<RunState> run;
 };
 
+/// Leave to run a step on a VM.
+struct Ticket {
+    std::string text;
+    TimePoint validUntil {};
+};
+
+/// What the advice service has said of one step.
+struct StepAdvice {
+    std::map<std::string, Ticket, std::less<>> tickets; ///< by VM
+    std::set<std::string, std::less<>> denied; ///< VMs that may not run the step
+    bool asked = false; ///< an answer is awaited
+    TimePoint nextQuestion {};
+};
+
 /// One step of an occurrence.
 struct StepState {
     std::vector<TaskState> tasks;
     int done = 0; ///< tasks that are done
+    StepAdvice advice;
 };
 
 /// One execution of a job's steps.
@@ -130,6 +145,7 @@
     std::map<std::string, JobEntry, std::less<>> jobs; ///< not ended
     std::map<std::string, VmState, std::less<>> vms;
     std::deque<Arrival> arrivals; ///< within the last arrivalWindow
+    std::vector<StepId> wantAdvice; ///< steps that the last planStarts() found no VM with a ticket for
     /// Until then tasks of recovered jobs may run on VMs that were not read.
     TimePoint uncertainUntil {};
     /// VMs that the platform says the pool has; the registry may miss some of them for a while after
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -266,7 +266,7 @@
     }
     auto jobsFresh = [this] { return m_clock.now() - m_jobRows.lastContact() < staleJobs; };
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
-        *m_adapter.machines, m_directory, jobsFresh };
+        *m_adapter.machines, *m_adapter.advice, m_directory, jobsFresh };
     m_holders[pool] = std::make_unique<PoolHolder>(context, pool, lease, m_leaseLimits, m_settings.maxLease,
         [this, pool] { m_endedHolders.push_back(pool); });
     m_jobRows.setGap(promptGap);
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -44,6 +44,7 @@
                   m_ended = true;
                   m_onEnd();
               } })
+    , m_advisor(context.advice, m_state, context.clock, context.metrics, [this] { wake(passDelay); })
     , m_passTimer(context.base, [this] { pass(); })
 {
     m_state.pool = std::move(pool);
@@ -180,8 +181,10 @@
     expireLeases(m_state, now);
     planEvacuations(m_state, now);
     sendStops(now);
-    if (m_context.jobsAreFresh())
+    if (m_context.jobsAreFresh()) {
         sendStarts(now);
+        m_advisor.pass();
+    }
     sendHolds(now);
     forgetEnded();
     markDirtyIfNeeded();
--- a/src/libscheduler/job.cpp
+++ b/src/libscheduler/job.cpp
@@ -65,6 +65,11 @@
 
 } // namespace
 
+std::string toString(const StepId& step)
+{
+    return step.job + "." + std::to_string(step.occurrence) + "." + std::to_string(step.step);
+}
+
 std::string toString(const TaskId& task)
 {
     return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -40,6 +40,27 @@
     return count;
 }
 
+/// Left of a ticket's time for the order's way to the VM.
+constexpr milliseconds ticketMargin { 100 };
+
+bool hasTicket(const StepAdvice& advice, const VmState& vm, TimePoint now)
+{
+    const auto ticket = advice.tickets.find(vm.entry.id);
+    return ticket != advice.tickets.end() && now + ticketMargin < ticket->second.validUntil;
+}
+
+const StepAdvice& adviceOf(const JobEntry& job, const TaskId& id)
+{
+    return job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].advice;
+}
+
+/// Whether one more task of the step fits on the VM.
+bool hasPlace(const VmState& vm, const StepSpec& step, const TaskId& id, TimePoint now)
+{
+    return takesWork(vm, now) && hasLabel(vm, step.requiredLabel) && fits(reservedBy(step), freeOf(vm))
+        && (step.maxPerVm == 0 || siblingsOn(vm, id) < step.maxPerVm);
+}
+
 /// Runs on the VM that should not be beside a task of this kind: fillers beside tasks that serve
 /// users, and the other way round.
 int conflictsOn(const PoolState& state, const VmState& vm, const StepSpec& step)
@@ -97,14 +118,12 @@
 VmState* chooseVm(PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now)
 {
     const auto& step = stepOf(job, id.step);
-    const auto need = reservedBy(step);
+    const bool advised = needsTicket(state, job);
     const auto rack = step.sameRack ? rackOfSiblings(state, job, id) : step.preferredRack;
     VmState* best = nullptr;
     Score bestScore;
     for (auto& [name, vm] : state.vms) {
-        if (!takesWork(vm, now) || !hasLabel(vm, step.requiredLabel) || !fits(need, freeOf(vm)))
-            continue;
-        if (step.maxPerVm > 0 && siblingsOn(vm, id) >= step.maxPerVm)
+        if (!hasPlace(vm, step, id, now) || (advised && !hasTicket(adviceOf(job, id), vm, now)))
             continue;
         const auto score = scoreOf(state, vm, step, rack);
         if (best && !(score < bestScore))
@@ -118,4 +137,30 @@
     return best;
 }
 
+bool needsTicket(const PoolState& state, const JobEntry& job)
+{
+    const auto queue = state.queues.find(job.spec.queue);
+    return queue != state.queues.end() && queue->second.advice;
+}
+
+std::vector<std::string> vmsToAskAbout(
+    const PoolState& state, const JobEntry& job, const TaskId& id, std::size_t limit, TimePoint now)
+{
+    const auto& step = stepOf(job, id.step);
+    const auto& advice = adviceOf(job, id);
+    const auto rack = step.sameRack ? rackOfSiblings(state, job, id) : step.preferredRack;
+    std::vector<std::pair<Score, std::string>> found;
+    for (const auto& [name, vm] : state.vms) {
+        if (!hasPlace(vm, step, id, now) || advice.denied.contains(name) || hasTicket(advice, vm, now))
+            continue;
+        found.emplace_back(scoreOf(state, vm, step, rack), name);
+    }
+    std::sort(found.begin(), found.end());
+    found.resize(std::min(found.size(), limit));
+    std::vector<std::string> names;
+    for (auto& [score, name] : found)
+        names.push_back(std::move(name));
+    return names;
+}
+
 } // namespace damask::fleet
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -11,4 +11,10 @@
 VmState* chooseVm(
     PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now);
 
+/// Whether the job's tasks run only on VMs with a ticket.
+bool needsTicket(const PoolState& state, const JobEntry& job);
+/// VMs with room for the task of which it is not known whether they may run it, best first.
+std::vector<std::string> vmsToAskAbout(
+    const PoolState& state, const JobEntry& job, const TaskId& id, std::size_t limit, TimePoint now);
+
 } // namespace damask::fleet
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -126,11 +126,21 @@
         job.state = JobState::Running;
         job.dirty = true;
     }
+    const auto& tickets
+        = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].advice.tickets;
+    const auto ticket = tickets.find(vm.entry.id);
     StartAction action { vm.entry.id, {} };
-    action.order = { id, number, job.spec.spec, checkpoint, "", extendLease(vm, state.limits, now) };
+    action.order = { id, number, job.spec.spec, checkpoint,
+        ticket == tickets.end() ? "" : ticket->second.text, extendLease(vm, state.limits, now) };
     return action;
 }
 
+void noteNoPlace(PoolState& state, const WaitingStep& waiting)
+{
+    if (needsTicket(state, *waiting.job))
+        state.wantAdvice.push_back({ waiting.job->spec.id, waiting.occurrence, waiting.step });
+}
+
 /// Places the waiting tasks of a step one by one, as far as there is room.
 void placeTasks(PoolState& state, const WaitingStep& waiting, bool certain, TimePoint now, WallTime wallNow,
     std::vector<StartAction>& out)
@@ -145,7 +155,7 @@
         const TaskId id { job.spec.id, waiting.occurrence, waiting.step, static_cast<int>(i) };
         auto* vm = chooseVm(state, job, id, waited, now);
         if (!vm)
-            return;
+            return noteNoPlace(state, waiting);
         out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint, now));
     }
 }
@@ -179,6 +189,7 @@
         out.insert(out.end(), starts.begin(), starts.end());
         return;
     }
+    noteNoPlace(state, waiting);
     for (const auto& start : starts)
         releaseRun(state, start.order.task, step.tasks[static_cast<std::size_t>(start.order.task.index)]);
 }
@@ -210,6 +221,7 @@
     }
     std::sort(waiting.begin(), waiting.end(),
         [](const WaitingStep& a, const WaitingStep& b) { return a.order() < b.order(); });
+    state.wantAdvice.clear();
     std::vector<StartAction> out;
     for (const auto& step : waiting) {
         if (stepOf(*step.job, step.step).gang)
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -222,6 +222,18 @@
         releaseMissing(state, vm, listed, sentAt);
 }
 
+namespace {
+
+void forgetTicket(PoolState& state, const TaskId& id, std::string_view vm)
+{
+    auto& job = state.jobs.find(id.job)->second;
+    auto& tickets = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].advice.tickets;
+    if (const auto ticket = tickets.find(vm); ticket != tickets.end())
+        tickets.erase(ticket);
+}
+
+} // namespace
+
 void applyStartOutcome(PoolState& state, std::string_view name, const TaskId& id, std::uint32_t number,
     OrderOutcome outcome, TimePoint now)
 {
@@ -250,12 +262,14 @@
     case OrderOutcome::Unreachable:
         found->second.silent = true;
         break;
+    case OrderOutcome::BadTicket:
+        forgetTicket(state, id, name);
+        break;
     case OrderOutcome::NoRoom:
     case OrderOutcome::Superseded:
     case OrderOutcome::OldRun:
     case OrderOutcome::Late:
     case OrderOutcome::WrongVm:
-    case OrderOutcome::BadTicket:
     case OrderOutcome::Invalid:
         break;
     }
