Let a lost race for one pool delay no other

Change: the time of each attempt counts from when the lease was seen free, with a spread of its own for each pool; pools held delay it, a lost race does not.

--- a/src/include/damaskworks/pool_election.h
+++ b/src/include/damaskworks/pool_election.h
@@ -53,12 +53,15 @@
     Timer m_timer;
     std::set<std::string> m_pools;
     std::map<std::string, ObservedLease> m_leases;
-    /// When a free lease is tried for, and how many pools the node held when that was decided.
-    struct Attempt {
-        TimePoint at {};
-        std::size_t held = 0;
+    /// A lease that can be taken.
+    struct FreeLease {
+        TimePoint since {}; ///< when this node saw that it is free, or last failed to take it
+        double spread = 0; ///< 0 to 1, of this node's delay; other for each pool, so that nodes differ
     };
-    std::map<std::string, Attempt> m_attempts;
+    /// When the node tries for the lease if nothing changes.
+    TimePoint attemptAt(const FreeLease& lease) const;
+    void findFree(TimePoint now);
+    std::map<std::string, FreeLease> m_free;
     std::set<std::string> m_taking;
     std::uint64_t m_takes = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< false once destroyed
--- a/src/libfleet/pool_election.cpp
+++ b/src/libfleet/pool_election.cpp
@@ -2,6 +2,8 @@
 #include <damaskworks/log.h>
 #include <damaskworks/pool_election.h>
 
+#include <algorithm>
+
 namespace damask::fleet {
 namespace {
 
@@ -26,7 +28,7 @@
     , m_events(std::move(events))
     , m_timer(base, [this] { check(); })
 {
-    m_timer.startPeriodic(checkInterval);
+    m_timer.startOnce(checkInterval);
 }
 
 PoolElection::~PoolElection() { *m_alive = false; }
@@ -58,33 +60,49 @@
         applyRow(row);
 }
 
-void PoolElection::check()
+TimePoint PoolElection::attemptAt(const FreeLease& lease) const
+{
+    // A node that has just taken another pool leaves this one to those that hold fewer.
+    const auto held = m_events.heldPools() + m_taking.size();
+    return lease.since + electionDelay(held, m_strength, lease.spread);
+}
+
+void PoolElection::findFree(TimePoint now)
 {
-    if (!m_events.mayTake())
-        return m_attempts.clear();
-    const auto now = m_clock.now();
     for (const auto& pool : m_pools) {
         const auto& lease = m_leases[pool];
         const bool mine = lease.row.session == m_session && !lease.row.node.empty();
-        if (mine || m_taking.contains(pool) || !isTakeable(lease, m_node, m_limits, now)) {
-            m_attempts.erase(pool);
-            continue;
-        }
-        const auto held = m_events.heldPools() + m_taking.size();
-        auto& attempt = m_attempts[pool];
-        // A node that has just taken another pool leaves this one to those that hold fewer.
-        if (attempt.at == TimePoint {} || attempt.held != held) {
-            const double spread = std::uniform_real_distribution<>(0, 1)(m_random);
-            attempt = { now + electionDelay(held, m_strength, spread), held };
+        if (mine || m_taking.contains(pool) || !isTakeable(lease, m_node, m_limits, now))
+            m_free.erase(pool);
+        else if (!m_free.contains(pool))
+            m_free[pool] = { now, std::uniform_real_distribution<>(0, 1)(m_random) };
+    }
+}
+
+void PoolElection::check()
+{
+    const auto now = m_clock.now();
+    if (m_events.mayTake())
+        findFree(now);
+    else
+        m_free.clear();
+    auto next = now + checkInterval;
+    while (!m_free.empty()) {
+        const auto first = std::min_element(m_free.begin(), m_free.end(),
+            [this](const auto& a, const auto& b) { return attemptAt(a.second) < attemptAt(b.second); });
+        const auto at = attemptAt(first->second);
+        if (at > now) {
+            next = std::min(next, at);
+            break;
         }
-        if (now >= attempt.at)
-            take(pool);
+        take(std::string(first->first));
     }
+    m_timer.startOnce(std::max(std::chrono::ceil<milliseconds>(next - now), milliseconds(1)));
 }
 
 void PoolElection::take(const std::string& pool)
 {
-    m_attempts.erase(pool);
+    m_free.erase(pool);
     m_taking.insert(pool);
     const auto& old = m_leases[pool];
     const LeaseRow row { m_node, m_session, old.version == 0 ? 0 : old.row.term + 1, ++m_takes };
