Give machines to pools that have lost theirs

Found by reading: machines that had crashed counted for their pool, as did machines that were to move there but crashed while they were emptied, and a pool without any machine asked for none. Ruled out: the new holder (all were killed, the pool stayed without service). Change: a machine whose VM's registration has ended, or that is down, does not count; tasks of such machines are given up; a pool without machines asks for what its work needs, by the average machine. Figures: tests poolWhoseMachinesAreAllGone..., machinesThatAreDown..., and taskOfAMachineThatHasCrashed... failed first (the first and last by reading).

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -115,6 +115,9 @@
 bool mayOrder(const FleetState& state, const MachineTask& task);
 /// Whether the machine is back: it runs another VM than before, or its pool's VMs are off.
 bool isBack(const FleetState& state, const MachineTask& task);
+/// Whether the task will never be carried out or has no use any more: its machine has crashed, was taken
+/// away, or runs another VM before the order was given.
+bool isAbandoned(const FleetState& state, const MachineTask& task);
 /// Whether every machine of the wave that still exists had its maintenance.
 bool isComplete(const FleetState& state, const WaveState& wave);
 
--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -66,6 +66,8 @@
     void applyWave(const WaveRequest& wave);
     /// A VM has registered.
     void applyVm(const VmEntry& vm);
+    /// The registration of the VM has ended.
+    void removeVm(const VmEntry& vm);
     /// Decides and acts on what is known now.
     void pass();
     void release();
@@ -91,6 +93,7 @@
     Version m_takenAt;
     std::function<void()> m_onEnd;
     FleetState m_state;
+    std::set<std::string> m_goneVms; ///< whose registration has ended
     FleetLimits m_limits;
     PoolLedger m_ledger;
     Timer m_timer;
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -212,6 +212,8 @@
     if (found == m_vms.end())
         return;
     const auto holder = m_holders.find(found->second.pool);
+    if (m_coordinator)
+        m_coordinator->removeVm(found->second);
     m_vms.erase(found);
     if (holder != m_holders.end())
         holder->second->unlistVm(id);
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -93,10 +93,20 @@
 {
     if (!m_begun || vm.machine.empty())
         return;
+    m_goneVms.erase(vm.id);
     auto& machine = m_state.machines[vm.machine];
     machine = { vm.machine, vm.pool, vm.draining ? MachineState::Down : MachineState::Up, vm.id };
 }
 
+void MachineCoordinator::removeVm(const VmEntry& vm)
+{
+    m_goneVms.insert(vm.id);
+    const auto found = m_state.machines.find(vm.machine);
+    if (found != m_state.machines.end() && found->second.vm == vm.id
+        && found->second.state == MachineState::Up)
+        found->second.state = MachineState::Down;
+}
+
 void MachineCoordinator::applyRows() { m_state.loads = m_context.rows.loads(); }
 
 void MachineCoordinator::release()
@@ -159,6 +169,9 @@
         // A list that was asked for before an order may show the machine as it was.
         const auto ordered = m_orderedAt.find(id);
         const bool stale = ordered != m_orderedAt.end() && ordered->second >= m_readSince;
+        // The platform may go on to call a machine up whose VM has crashed.
+        if (machine.state == MachineState::Up && m_goneVms.contains(machine.vm))
+            machine.state = MachineState::Down;
         read.emplace(id, stale ? m_state.machines[id] : std::move(machine));
     }
     m_state.machines = std::move(read);
@@ -248,14 +261,17 @@
     for (auto it = m_state.tasks.begin(); it != m_state.tasks.end();) {
         const auto& task = it->second;
         const auto durable = m_durable.find(it->first);
-        if (durable == m_durable.end() || durable->second != encodeTask(task) || !isBack(m_state, task)) {
+        const bool abandoned = isAbandoned(m_state, task) && !m_ordering.contains(it->first);
+        if (durable == m_durable.end() || durable->second != encodeTask(task)
+            || !(isBack(m_state, task) || abandoned)) {
             ++it;
             continue;
         }
-        logEvent(LogLevel::Info, "machine_back",
-            { { "machine", task.machine },
-                { "action", std::string(nameOf(machineActionNames, task.action)) } });
-        if (task.action == MachineAction::Maintain) {
+        logEvent(LogLevel::Info, abandoned ? "machine_task_abandoned" : "machine_back",
+            { { "machine", task.machine }, { "action", std::string(nameOf(machineActionNames, task.action)) },
+                { "state", std::string(nameOf(machineTaskStateNames, task.state)) } });
+        // An order that was accepted counts even if the machine crashed afterwards.
+        if (task.action == MachineAction::Maintain && task.state == MachineTaskState::Ordered) {
             m_state.waves[task.wave].done.insert(task.machine);
             m_changedWaves.insert(task.wave);
             m_durableWaves.erase(task.wave);
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -41,6 +41,24 @@
     return moved == state.movedAt.end() || now - moved->second >= limits.shortestStay;
 }
 
+/// Whether the pool has lost all its machines, and not just a holder that has not read them yet.
+bool isDeserted(const PoolLoad& load, int up)
+{
+    return up == 0 && load.workingMachines == 0 && load.serving.empty();
+}
+
+/// Processors of a machine, on average over the pools that have some.
+double averageMachine(const FleetState& state)
+{
+    double cpu = 0;
+    int machines = 0;
+    for (const auto& [pool, load] : state.loads) {
+        cpu += static_cast<double>(load.capacityCpu);
+        machines += load.workingMachines;
+    }
+    return machines == 0 ? 0 : cpu / machines;
+}
+
 PoolNeed needOf(const FleetState& state, const std::string& pool, const FleetLimits& limits, TimePoint now)
 {
     PoolNeed need { .name = pool };
@@ -50,7 +68,9 @@
     for (const auto& [id, machine] : state.machines) {
         const auto task = state.tasks.find(id);
         const bool moves = task != state.tasks.end() && task->second.action == MachineAction::Move;
-        need.has += (moves ? task->second.toPool : machine.pool) == pool;
+        // A machine that has crashed or been taken away may never come back.
+        if (moves || machine.state != MachineState::Down)
+            need.has += (moves ? task->second.toPool : machine.pool) == pool;
         if (machine.pool != pool || machine.state != MachineState::Up)
             continue;
         ++up;
@@ -59,11 +79,19 @@
         if (!stays && mayLeave(state, machine, limits, now))
             need.spare.push_back(&machine);
     }
-    if (load == state.loads.end() || up == 0 || load->second.workingMachines == 0) {
+    const bool known = load != state.loads.end();
+    const bool deserted = known && isDeserted(load->second, up);
+    if (!known || (!deserted && (up == 0 || load->second.workingMachines == 0))) {
         need.needs = need.has;
         return need;
     }
-    const double perMachine = static_cast<double>(load->second.capacityCpu) / load->second.workingMachines;
+    const double perMachine = deserted
+        ? averageMachine(state)
+        : static_cast<double>(load->second.capacityCpu) / load->second.workingMachines;
+    if (perMachine <= 0) {
+        need.needs = need.has; // no pool tells how large a machine is
+        return need;
+    }
     const auto runsOn = [&](const Machine* machine) {
         const auto runs = load->second.runs.find(machine->id);
         return runs == load->second.runs.end() ? 0 : runs->second;
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -210,6 +210,15 @@
         || (!machine->second.vm.empty() && machine->second.vm != task.oldVm);
 }
 
+bool isAbandoned(const FleetState& state, const MachineTask& task)
+{
+    const auto machine = state.machines.find(task.machine);
+    if (machine == state.machines.end() || machine->second.state == MachineState::Down)
+        return true;
+    return task.state == MachineTaskState::Emptying && machine->second.state == MachineState::Up
+        && machine->second.vm != task.oldVm;
+}
+
 bool isComplete(const FleetState& state, const WaveState& wave)
 {
     return std::all_of(wave.request.machines.begin(), wave.request.machines.end(),
--- a/src/libscheduler/fleet_plan_test.cpp
+++ b/src/libscheduler/fleet_plan_test.cpp
@@ -114,6 +114,24 @@
     BOOST_TEST(!isBack(state, task));
 }
 
+BOOST_AUTO_TEST_CASE(taskOfAMachineThatHasCrashedIsGivenUp)
+{
+    // Such a machine would count as on its way to its pool for ever.
+    const MachineTask task { "a0", MachineAction::Move, 0, "b", "vm-a0", MachineTaskState::Emptying };
+    BOOST_TEST(!isAbandoned(state, task));
+    auto ordered = task;
+    ordered.state = MachineTaskState::Ordered;
+    state.machines["a0"].state = MachineState::Moving;
+    BOOST_TEST(!isAbandoned(state, ordered));
+    state.machines["a0"].state = MachineState::Down;
+    BOOST_TEST(isAbandoned(state, task));
+    BOOST_TEST(isAbandoned(state, ordered));
+    // It was started again before it was emptied.
+    state.machines["a0"] = { "a0", "a", MachineState::Up, "vm-other" };
+    BOOST_TEST(isAbandoned(state, task));
+    BOOST_TEST(!isAbandoned(state, ordered));
+}
+
 BOOST_AUTO_TEST_CASE(waveIsCompleteOnlyWhenEveryMachineThatStaysIsDone)
 {
     wave({ "a0", "gone" }, 4);
@@ -178,6 +196,46 @@
     BOOST_TEST(!mayOrder(state, moves[2]));
 }
 
+BOOST_AUTO_TEST_CASE(poolWhoseMachinesAreAllGoneGetsOthers)
+{
+    // On a played day a pool lost its last machines and got none for the rest of the day.
+    backlog("a", 8);
+    auto& load = state.loads["a"];
+    load.usedCpu = load.capacityCpu = 0;
+    load.workingMachines = 0;
+    load.runs.clear();
+    for (const char* id : { "a0", "a1", "a2", "a3" })
+        state.machines[id].state = MachineState::Down;
+    const auto moves = planMoves(state, limits, clock.now());
+    BOOST_TEST(moves.size() == 3u); // two for the backlog, one in reserve
+    for (const auto& move : moves) {
+        BOOST_TEST(move.toPool == "a");
+        state.tasks.emplace(move.machine, move);
+    }
+    BOOST_TEST(planMoves(state, limits, clock.now()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(poolWhoseHolderHasNotReadItsMachinesKeepsThem)
+{
+    auto& load = state.loads["a"];
+    load.workingMachines = 0;
+    load.capacityCpu = 0;
+    load.waitingCpu = load.waitingWork = 20'000;
+    load.serving = { "a0", "a1", "a2", "a3" };
+    BOOST_TEST(planMoves(state, limits, clock.now()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(machinesThatAreDownDoNotCountForTheirPool)
+{
+    backlog("a", 1);
+    state.loads["a"].capacityCpu = state.loads["a"].usedCpu = 8'000;
+    state.loads["a"].workingMachines = 2;
+    const auto before = planMoves(state, limits, clock.now()).size();
+    for (const char* id : { "a2", "a3" })
+        state.machines[id].state = MachineState::Down;
+    BOOST_TEST(planMoves(state, limits, clock.now()).size() == before + 2);
+}
+
 BOOST_AUTO_TEST_CASE(machinesOnTheirWayCountAsThere)
 {
     backlog("a", 4);
