Start a job only once its record says that it has begun

Ruled out: the reading of the VMs (most are read within 50 ms; a few that are down hold all others up until the longest lease has passed). Change: the first tasks of a job wait for the write of its record, with their room reserved; a job without a record is known not to have begun and starts at once under the next holder.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -7,6 +7,7 @@
 #include <damaskworks/job_directory.h>
 #include <damaskworks/pool_ledger.h>
 #include <damaskworks/pool_state.h>
+#include <damaskworks/start_gate.h>
 #include <damaskworks/step_advisor.h>
 
 #include <functional>
@@ -97,6 +98,7 @@
     TimePoint m_passAt {};
     bool m_passPlanned = false;
     std::map<std::string, Link> m_links;
+    WaitingStarts m_waitingStarts;
     std::set<std::string> m_writing; ///< jobs in the transaction under way
     std::set<std::string> m_forgotten; ///< ended jobs whose end the directory does not show yet
     std::set<std::string> m_evacuations;
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -79,6 +79,7 @@
 struct JobEntry {
     JobSpec spec;
     JobState state = JobState::Queued;
+    bool begun = false; ///< has a durable record, without which none of its tasks is started
     bool recovered = false; ///< an earlier holder may have started its tasks
     bool cancelled = false;
     bool dirty = false; ///< differs from its durable record
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -235,8 +235,8 @@
 
 void PoolHolder::sendStarts(TimePoint now)
 {
-    for (const auto& start : planStarts(m_state, now,
-             std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch()))) {
+    const auto wallNow = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
+    for (const auto& start : passGate(m_state, m_waitingStarts, planStarts(m_state, now, wallNow), now)) {
         const auto& vm = m_state.vms.find(start.vm)->second;
         m_context.metrics.count("task_starts_total{pool=\"" + m_state.pool + "\"}");
         m_context.endpoints.start(
@@ -442,7 +442,10 @@
     }
     for (const auto& id : batch.jobs) {
         const auto found = m_state.jobs.find(id);
-        if (found != m_state.jobs.end() && isFinal(found->second.state) && !found->second.dirty)
+        if (found == m_state.jobs.end())
+            continue;
+        found->second.begun = true;
+        if (isFinal(found->second.state) && !found->second.dirty)
             logEvent(LogLevel::Info, "job_ended",
                 { { "job", id }, { "pool", m_state.pool },
                     { "state", std::string(nameOf(jobStateNames, found->second.state)) } });
--- a/src/libscheduler/pool_fixture_test.h
+++ b/src/libscheduler/pool_fixture_test.h
@@ -64,9 +64,12 @@
         return out;
     }
 
-    void submit(const std::string& id, std::vector<StepSpec> steps, bool recovered = false,
-        const std::string& progress = "")
+    /// A recovered job has a record, as every job that an earlier holder has begun.
+    void submit(
+        const std::string& id, std::vector<StepSpec> steps, bool recovered = false, std::string progress = "")
     {
+        if (recovered && progress.empty())
+            progress = "{\"state\":\"running\"}";
         addJob(state, job(id, std::move(steps)), progress, recovered);
     }
 
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -122,10 +122,8 @@
     RunState run { vm.entry.id, number };
     run.orderedAt = now;
     placeRun(state, vm, id, task, run);
-    if (job.state == JobState::Queued) {
-        job.state = JobState::Running;
-        job.dirty = true;
-    }
+    if (!job.begun)
+        job.dirty = true; // its record has to be written before the order is given
     const auto& tickets
         = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].advice.tickets;
     const auto ticket = tickets.find(vm.entry.id);
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -37,6 +37,15 @@
     vm.failureStreak = limits.failuresBeforeAside - 1; // one more failure after the pause is enough
 }
 
+/// A job counts as running once a VM has one of its tasks; an order alone may come to nothing.
+void noteStarted(JobEntry& job)
+{
+    if (job.state != JobState::Queued)
+        return;
+    job.state = JobState::Running;
+    job.dirty = true;
+}
+
 void finishTask(PoolState& state, JobEntry& job, const TaskId& id, TaskState& task)
 {
     if (task.done)
@@ -87,6 +96,7 @@
         return;
     auto& job = state.jobs.find(end.task.job)->second;
     const auto& step = stepOf(job, end.task.step);
+    noteStarted(job);
     const bool current = task->run && task->run->vm == vm.entry.id && task->run->number == end.run;
     if (!current && task->run) {
         // Another run does the task's work. That this one failed still counts as an attempt.
@@ -151,10 +161,7 @@
     run.orderedAt = now;
     placeRun(state, vm, report.task, *task, run);
     confirmRun(*task->run, report, now);
-    if (job->second.state == JobState::Queued) {
-        job->second.state = JobState::Running;
-        job->second.dirty = true;
-    }
+    noteStarted(job->second);
 }
 
 void applyRunning(PoolState& state, VmState& vm, const RunReport& report, TimePoint now)
@@ -162,8 +169,10 @@
     auto* task = findTask(state, report.task);
     if (task && !report.checkpoint.empty() && !task->done)
         task->checkpoint = report.checkpoint;
-    if (task && task->run && task->run->vm == vm.entry.id && task->run->number == report.run)
+    if (task && task->run && task->run->vm == vm.entry.id && task->run->number == report.run) {
+        noteStarted(state.jobs.find(report.task.job)->second);
         return confirmRun(*task->run, report, now);
+    }
     adoptRun(state, vm, report, now);
 }
 
@@ -249,6 +258,7 @@
             run.phase = RunPhase::Running;
             run.confirmedAt = run.progressAt = now;
         }
+        noteStarted(state.jobs.find(id.job)->second);
         return;
     case OrderOutcome::Unknown:
         found->second.silent = true;
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -41,7 +41,9 @@
     JobEntry job;
     job.chain = longestChain(spec.steps);
     job.spec = std::move(spec);
-    job.recovered = recovered;
+    job.begun = !progress.empty();
+    // Without a record its earlier holder has started nothing.
+    job.recovered = recovered && job.begun;
     if (!progress.empty())
         decodeProgress(job, progress);
     if (isFinal(job.state))
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -357,4 +357,22 @@
     BOOST_TEST((state.jobs.at("j1").state == JobState::Failed));
 }
 
+BOOST_AUTO_TEST_CASE(jobWhoseOrdersCameToNothingStillWaits)
+{
+    // On a played day 5 of 7 waiting jobs were not counted: their VMs had not taken the orders.
+    addVm("v1");
+    submit("j1", { step(1) });
+    const auto first = starts();
+    BOOST_REQUIRE(first.size() == 1u);
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Queued));
+    applyStartOutcome(
+        state, "v1", first[0].order.task, first[0].order.run, OrderOutcome::Refused, clock.now());
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Queued));
+    const auto second = starts();
+    BOOST_REQUIRE(second.size() == 1u);
+    applyStartOutcome(
+        state, "v1", second[0].order.task, second[0].order.run, OrderOutcome::Accepted, clock.now());
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Running));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libscheduler/start_gate.cpp
@@ -0,0 +1,43 @@
+#include <damaskworks/start_gate.h>
+
+#include <iterator>
+
+namespace damask::fleet {
+namespace {
+
+/// Whether the run is still to be started; renews the lease that its order carries.
+bool refresh(PoolState& state, StartAction& start, TimePoint now)
+{
+    const auto* task = findTask(state, start.order.task);
+    const auto vm = state.vms.find(start.vm);
+    if (!task || !task->run || vm == state.vms.end() || task->run->vm != start.vm
+        || task->run->number != start.order.run || task->run->phase != RunPhase::Starting)
+        return false;
+    start.order.leaseUntil = extendLease(vm->second, state.limits, now);
+    return true;
+}
+
+} // namespace
+
+std::vector<StartAction> passGate(
+    PoolState& state, WaitingStarts& waiting, std::vector<StartAction> planned, TimePoint now)
+{
+    for (auto& start : planned)
+        waiting[start.order.task.job].push_back(std::move(start));
+    std::vector<StartAction> out;
+    for (auto it = waiting.begin(); it != waiting.end();) {
+        const auto job = state.jobs.find(it->first);
+        if (job != state.jobs.end() && !job->second.begun) {
+            ++it;
+            continue;
+        }
+        for (auto& start : it->second) {
+            if (refresh(state, start, now))
+                out.push_back(std::move(start));
+        }
+        it = waiting.erase(it);
+    }
+    return out;
+}
+
+} // namespace damask::fleet
