Ask for machines ahead of a rising demand

Ruled out: emptying (half of the former pool's machines are idle by then), the platform (moves accepted in milliseconds). Change: the rate is foreseen by 2.4 s from two windows, as far as its growth is beyond half of its standard error, and by three times at most.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -128,6 +128,9 @@
     milliseconds longestEvacuation { 5000 }; ///< most tasks end within this; others are stopped
     milliseconds arrivalWindow { 800 }; ///< over which the rate of new work is taken
     milliseconds farPenaltyWait { 400 }; ///< wait for a place in the preferred rack
+    /// For which the rate of new work is foreseen: a machine has come to the pool after about 2 s (its
+    /// tasks' ends, the move, its registration), and the rate is that of the window's middle.
+    milliseconds foresight { 2400 };
 };
 
 /// Work of a job that was accepted lately.
@@ -145,7 +148,7 @@
     std::map<std::string, Queue, std::less<>> queues; ///< by name
     std::map<std::string, JobEntry, std::less<>> jobs; ///< not ended
     std::map<std::string, VmState, std::less<>> vms;
-    std::deque<Arrival> arrivals; ///< within the last arrivalWindow
+    std::deque<Arrival> arrivals; ///< within the last two arrivalWindows
     std::vector<StepId> wantAdvice; ///< steps that the last planStarts() found no VM with a ticket for
     /// Until then tasks of recovered jobs may run on VMs that were not read.
     TimePoint uncertainUntil {};
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -372,7 +372,7 @@
 
 void PoolHolder::publishLoad(TimePoint now)
 {
-    while (!m_state.arrivals.empty() && now - m_state.arrivals.front().at > m_state.limits.arrivalWindow)
+    while (!m_state.arrivals.empty() && now - m_state.arrivals.front().at > m_state.limits.arrivalWindow * 2)
         m_state.arrivals.pop_front();
     auto load = loadOf(m_state, now);
     if (load == m_load)
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -3,6 +3,7 @@
 #include "pool_state_pvt.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace damask::fleet {
 namespace {
@@ -79,14 +80,36 @@
     }
 }
 
+/// Most that a rate is foreseen to grow by: demand rises in seconds, and machines sent in vain are
+/// missing elsewhere.
+constexpr double mostGrowth = 3;
+
+/// Processors that new work needs, foreseen from its rates in two windows. A growth is trusted as far as
+/// it is beyond half of the standard error of the two counts of jobs.
 std::int64_t arrivingCpu(const PoolState& state, TimePoint now)
 {
-    double work = 0;
+    double work[2] = {};
+    int jobs[2] = {};
+    const auto window = state.limits.arrivalWindow;
     for (const auto& arrival : state.arrivals) {
-        if (now - arrival.at < state.limits.arrivalWindow)
-            work += arrival.work;
+        const auto age = now - arrival.at;
+        if (age >= window * 2)
+            continue;
+        const int which = age < window ? 0 : 1;
+        work[which] += arrival.work;
+        ++jobs[which];
     }
-    return static_cast<std::int64_t>(work / static_cast<double>(state.limits.arrivalWindow.count()));
+    const double rate = work[0] / static_cast<double>(window.count());
+    const double earlier = work[1] / static_cast<double>(window.count());
+    const int more = jobs[0] - jobs[1];
+    if (more <= 0 || rate <= earlier)
+        return static_cast<std::int64_t>(rate);
+    const double error = std::sqrt(static_cast<double>(jobs[0] + jobs[1]));
+    const double trust = std::max(0.0, 1 - error / (2 * more));
+    const double windows
+        = static_cast<double>(state.limits.foresight.count()) / static_cast<double>(window.count());
+    const double foreseen = rate + (rate - earlier) * trust * windows;
+    return static_cast<std::int64_t>(std::min(foreseen, rate * mostGrowth));
 }
 
 } // namespace
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -375,4 +375,28 @@
     BOOST_TEST((state.jobs.at("j1").state == JobState::Running));
 }
 
+BOOST_AUTO_TEST_CASE(machinesAreAskedForAheadOfARisingDemand)
+{
+    // A turn as played: 10 jobs a second more with each second.
+    std::int64_t jobs = 0;
+    std::int64_t asked = 0;
+    for (int ms = 0; ms < 4000; ms += 20) {
+        advance(20ms);
+        const auto due = 10 * ms * ms / 2'000'000;
+        for (; jobs < due; ++jobs)
+            noteArrival(state, job("j" + std::to_string(jobs), { step(10) }), clock.now());
+        asked = loadOf(state, clock.now()).arrivingCpu;
+    }
+    // 40 jobs a second now, 60 when a machine asked for now has come; each needs ten cores for a second.
+    BOOST_TEST(asked >= 400'000);
+    BOOST_TEST(asked <= 600'000);
+    // A steady rate is not taken for a rising one.
+    for (int ms = 0; ms < 2000; ms += 50) {
+        advance(50ms);
+        noteArrival(state, job("k" + std::to_string(ms), { step(10) }), clock.now());
+        asked = loadOf(state, clock.now()).arrivingCpu;
+    }
+    BOOST_TEST(asked <= 210'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
