Keep jobs' specs out of the rows that every node reads

Four fifths of the rows are specs, which only the holder of the job's pool passes on. Change: a job's spec is a row of a table of its own, written with the job; the holder reads it when it hears of the job, while the job's record is written, and gives no order without it. A count of waiting jobs is refused once the node's view is older than 2 s.

--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -23,6 +23,8 @@
     SharedTable& table;
     const Codec& codec;
     const JobDirectory& directory;
+    /// All that the table was told of jobs before this time is in the directory.
+    std::function<TimePoint()> directoryFreshAt;
 };
 
 /// Serves callers at any node. A job is accepted once its row is committed; which node runs it does
--- a/src/include/damaskworks/job.h
+++ b/src/include/damaskworks/job.h
@@ -73,7 +73,8 @@
     std::string id;
     std::string queue;
     std::string pool; ///< that the queue was routed to at the time of acceptance
-    std::string spec; ///< passed to the tasks unread
+    std::string spec; ///< passed to the tasks unread; kept in a row of its own, see specBytes
+    std::size_t specBytes = 0; ///< size of spec, also where spec itself has not been read
     std::vector<StepSpec> steps;
     int occurrences = 0; ///< of a scheduled job; 0: the job runs once
     WallTime firstDue { 0 };
@@ -123,7 +124,7 @@
 /// Longest chain of estimated run times through the steps.
 milliseconds longestChain(const std::vector<StepSpec>& steps);
 
-/// Row text of a job; decodeJob() gives nothing for text that encodeJob() did not make.
+/// Row text of a job, without its spec; decodeJob() gives nothing for text that encodeJob() did not make.
 std::string encodeJob(const JobSpec& job);
 std::optional<JobSpec> decodeJob(std::string_view text);
 
--- a/src/include/damaskworks/job_directory.h
+++ b/src/include/damaskworks/job_directory.h
@@ -17,6 +17,8 @@
 
 /// Table that holds the rows of jobs.
 inline constexpr std::string_view jobTable = "jobs";
+/// Table that holds what jobs pass to their tasks. Only the holder of a job's pool reads it, job by job.
+inline constexpr std::string_view specTable = "specs";
 /// Table that holds the leases of pools.
 inline constexpr std::string_view controlTable = "control";
 
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -7,6 +7,7 @@
 #include <damaskworks/job_directory.h>
 #include <damaskworks/pool_ledger.h>
 #include <damaskworks/pool_state.h>
+#include <damaskworks/spec_reader.h>
 #include <damaskworks/start_gate.h>
 #include <damaskworks/step_advisor.h>
 
@@ -57,6 +58,9 @@
     const PoolState& state() const { return m_state; }
 
 private:
+    /// Events that arrive within this time are decided on together.
+    static constexpr milliseconds passDelay { 2 };
+
     /// Calls to one VM.
     struct Link {
         bool holding = false;
@@ -74,6 +78,7 @@
     bool wantsHold(const VmState& vm, Link& link, TimePoint now);
     void sendHold(const std::string& name, VmState& vm, Link& link, TimePoint now);
     void onReport(const std::string& name, tl::expected<VmReport, OrderOutcome> report, TimePoint sentAt);
+    void onSpec(const std::string& job, std::string spec);
     void onStarted(const StartAction& start, OrderOutcome outcome, TimePoint sentAt);
     void sendPaces(const std::string& name, TimePoint now);
     void noteOutcome(const std::string& vm, OrderOutcome outcome);
@@ -94,6 +99,7 @@
     std::function<void()> m_onEnd;
     PoolLedger m_ledger;
     StepAdvisor m_advisor;
+    SpecReader m_specs;
     Timer m_passTimer;
     TimePoint m_passAt {};
     bool m_passPlanned = false;
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -80,6 +80,7 @@
     JobSpec spec;
     JobState state = JobState::Queued;
     bool begun = false; ///< has a durable record, without which none of its tasks is started
+    bool hasSpec = false; ///< spec.spec has been read
     bool recovered = false; ///< an earlier holder may have started its tasks
     bool cancelled = false;
     bool dirty = false; ///< differs from its durable record
@@ -127,10 +128,10 @@
     milliseconds shortestStall { 4000 };
     milliseconds longestEvacuation { 5000 }; ///< most tasks end within this; others are stopped
     milliseconds arrivalWindow { 800 }; ///< over which the rate of new work is taken
-    milliseconds farPenaltyWait { 400 }; ///< wait for a place in the preferred rack
     /// For which the rate of new work is foreseen: a machine has come to the pool after about 2 s (its
     /// tasks' ends, the move, its registration), and the rate is that of the window's middle.
     milliseconds foresight { 2400 };
+    milliseconds farPenaltyWait { 400 }; ///< wait for a place in the preferred rack
 };
 
 /// Work of a job that was accepted lately.
--- a/src/include/damaskworks/start_gate.h
+++ b/src/include/damaskworks/start_gate.h
@@ -1,5 +1,5 @@
 /// \file
-/// Starts that wait until the record of their job says that it has begun.
+/// Starts that wait until the record of their job says that it has begun, and until its spec is read.
 #pragma once
 
 #include <damaskworks/pool_state.h>
--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -42,6 +42,9 @@
     Version version() const { return m_version; }
     /// Time of the last answer.
     TimePoint lastContact() const { return m_lastContact; }
+    /// All that changed before this time has been handed on. Older than lastContact() where an answer
+    /// took long to arrive.
+    TimePoint freshAt() const { return m_freshAt; }
 
 private:
     void load();
@@ -72,6 +75,8 @@
     bool m_reload = true;
     int m_failures = 0;
     TimePoint m_lastContact {};
+    TimePoint m_freshAt {};
+    TimePoint m_loadBegan {};
 };
 
 } // namespace damask::fleet
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds answerMargin { 150 };
 /// Longest wait for one transaction; a slow table answers within about 0.6 s.
 constexpr milliseconds longestAttempt { 900 };
+/// A count of waiting jobs may be this old, by the platform's terms.
+constexpr milliseconds oldestCount { 2000 };
 /// Below this an attempt is not worth starting.
 constexpr milliseconds shortestAttempt { 60 };
 constexpr milliseconds retryPause { 60 }; ///< grows with each attempt
@@ -97,6 +99,8 @@
     case CallerAction::CountPending:
         if (!m_directoryLoaded)
             return reply(call, 503, errorBody("jobs are not loaded yet"), "not_loaded");
+        if (m_context.clock.now() - m_context.directoryFreshAt() > oldestCount)
+            return reply(call, 503, errorBody("the count is out of date"), "stale");
         return reply(
             call, 200, m_context.codec.encodePending(m_context.directory.pending(queue->name)), "count");
     case CallerAction::Unsupported:
@@ -134,6 +138,7 @@
         return reply(call, 400, errorBody(describe(job.error())), "invalid");
     call->job = std::move(*job);
     call->job.id = call->id;
+    call->job.specBytes = call->job.spec.size();
     call->job.queue = call->queue.name;
     call->job.pool = call->queue.pool;
     call->job.maxAttempts = call->queue.maxAttempts;
@@ -146,8 +151,10 @@
     ++call->attempts;
     const std::string table(jobTable);
     const auto key = rows::jobKey(call->id);
-    const TableTransaction transaction { call->part, { { table, key, 0 } },
+    TableTransaction transaction { call->part, { { table, key, 0 } },
         { { table, key, encodeJob(call->job) } } };
+    if (call->job.specBytes > 0)
+        transaction.writes.push_back({ std::string(specTable), call->id, call->job.spec });
     m_context.table.commit(transaction, attemptTimeout(*call),
         [this, call](TableResult<Version> result) { onSubmitted(call, result); });
 }
--- a/src/libfleet/fakes_test.h
+++ b/src/libfleet/fakes_test.h
@@ -31,6 +31,8 @@
 
     std::deque<CommitFault> faults; ///< of the next commits; none when empty
     std::size_t largestTransaction = 0;
+    int failedReads = 0; ///< of the next reads, which the table turns away
+    int mostOpenReads = 0;
 
     void commit(const TableTransaction& transaction, std::chrono::milliseconds,
         TableCallback<Version> callback) override
@@ -53,13 +55,24 @@
     void read(const std::string& table, const std::string& part, const std::string& from, int limit,
         TableCallback<TableRows> callback) override
     {
+        mostOpenReads = std::max(mostOpenReads, ++m_openReads);
+        if (failedReads > 0) {
+            --failedReads;
+            return later([this, callback] {
+                --m_openReads;
+                callback(tl::make_unexpected(TableFailure::NotDone));
+            });
+        }
         TableRows out { m_version, {}, false };
         for (const auto& [key, row] : m_rows) {
             if (std::get<0>(key) == table && row.part == part && row.key >= from
                 && static_cast<int>(out.rows.size()) < limit)
                 out.rows.push_back(row);
         }
-        later([callback, out] { callback(out); });
+        later([this, callback, out] {
+            --m_openReads;
+            callback(out);
+        });
     }
 
     void parts(const std::string& table, const std::string&,
@@ -138,6 +151,7 @@
     }
 
     Version m_version = 0;
+    int m_openReads = 0;
     std::map<std::tuple<std::string, std::string, std::string>, TableRow> m_rows;
     std::vector<TableTransaction> m_late;
     std::deque<std::function<void()>> m_answers;
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -32,12 +32,6 @@
 constexpr milliseconds exitMargin { 500 };
 constexpr milliseconds stopCheck { 50 };
 
-CallerContext callerContext(
-    Loop& loop, const Clock& clock, Metrics& metrics, const Adapter& adapter, const JobDirectory& directory)
-{
-    return { loop.base(), clock, metrics, *adapter.table, *adapter.codec, directory };
-}
-
 Adapter openAdapter(const AdapterPlugin& plugin, Loop& loop, const NodeSettings& settings, const Clock& clock,
     Metrics& metrics)
 {
@@ -57,7 +51,8 @@
     , m_settings(std::move(settings))
     , m_session(m_settings.node + "-" + std::to_string(seed))
     , m_adapter(openAdapter(plugin, loop, m_settings, clock, m_metrics))
-    , m_callers(callerContext(loop, clock, m_metrics, m_adapter, m_directory))
+    , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
+          [this] { return m_jobRows.freshAt(); } })
     , m_operatorRows(loop.base(), *m_adapter.table, clock, m_metrics,
           { m_adapter.codec->operatorTable(), false, milliseconds(0) }, seed + 1)
     , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
--- a/src/libfleet/job_directory_test.cpp
+++ b/src/libfleet/job_directory_test.cpp
@@ -77,7 +77,7 @@
     job.id = "a1";
     job.queue = "quotes";
     job.pool = "pricing";
-    job.spec = "cake";
+    job.specBytes = 4;
     job.occurrences = 3;
     job.firstDue = WallTime(5000);
     job.period = milliseconds(700);
@@ -103,6 +103,7 @@
     BOOST_REQUIRE(read);
     BOOST_TEST(encodeJob(*read) == row);
     BOOST_TEST(read->maxAttempts == 4);
+    BOOST_TEST(read->specBytes == 4u);
     BOOST_TEST((read->steps[0].need == plain.need));
     const auto& step = read->steps[1];
     BOOST_TEST(step.count == 6);
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -66,6 +66,7 @@
     m_loading.clear();
     m_partsToRead.clear();
     m_loadVersion = 0;
+    m_loadBegan = m_clock.now();
     // The first answer's version is that of the load: later changes come with the feed as well.
     readPart("", "");
     if (m_settings.manyParts)
@@ -122,6 +123,7 @@
     m_version = std::max(m_version, m_loadVersion);
     m_reload = false;
     m_loaded = true;
+    m_freshAt = m_loadBegan;
     if (m_onReset)
         m_onReset(m_loading);
     m_loading.clear();
@@ -132,13 +134,16 @@
 
 void TableFollower::follow()
 {
-    m_table.follow(m_settings.table, m_version, followWait, [this](TableResult<TableRows> rows) {
-        if (!rows)
-            return fail(rows.error(), rows.error() == TableFailure::HistoryGone);
-        succeed();
-        take(*rows);
-        resume(rows->rows.empty() ? milliseconds(0) : m_settings.gap);
-    });
+    m_table.follow(
+        m_settings.table, m_version, followWait, [this, sentAt = m_clock.now()](TableResult<TableRows> rows) {
+            if (!rows)
+                return fail(rows.error(), rows.error() == TableFailure::HistoryGone);
+            succeed();
+            // Without changes the table has waited for the whole time.
+            m_freshAt = rows->rows.empty() ? sentAt + followWait : sentAt;
+            take(*rows);
+            resume(rows->rows.empty() ? milliseconds(0) : m_settings.gap);
+        });
 }
 
 void TableFollower::take(const TableRows& rows)
--- a/src/libscheduler/job.cpp
+++ b/src/libscheduler/job.cpp
@@ -113,8 +113,9 @@
     json steps = json::array();
     for (const auto& step : job.steps)
         steps.push_back(toJson(step));
-    json value = { { "id", job.id }, { "queue", job.queue }, { "pool", job.pool }, { "spec", job.spec },
-        { "steps", steps }, { "attempts", job.maxAttempts }, { "acceptedAt", job.acceptedAt.count() } };
+    json value = { { "id", job.id }, { "queue", job.queue }, { "pool", job.pool }, { "steps", steps },
+        { "attempts", job.maxAttempts }, { "acceptedAt", job.acceptedAt.count() } };
+    put(value, "specBytes", job.specBytes);
     put(value, "occurrences", job.occurrences);
     put(value, "firstDue", job.firstDue.count());
     put(value, "period", job.period.count());
@@ -131,7 +132,7 @@
         job.id = value.at("id").get<std::string>();
         job.queue = value.at("queue").get<std::string>();
         job.pool = value.at("pool").get<std::string>();
-        job.spec = value.at("spec").get<std::string>();
+        job.specBytes = value.value("specBytes", std::size_t(0));
         for (const auto& step : value.at("steps"))
             job.steps.push_back(stepFromJson(step));
         job.maxAttempts = value.at("attempts").get<int>();
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -41,6 +41,7 @@
     JobEntry job;
     job.chain = longestChain(spec.steps);
     job.spec = std::move(spec);
+    job.hasSpec = job.spec.specBytes == 0;
     job.begun = !progress.empty();
     // Without a record its earlier holder has started nothing.
     job.recovered = recovered && job.begun;
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -13,6 +13,7 @@
     if (!task || !task->run || vm == state.vms.end() || task->run->vm != start.vm
         || task->run->number != start.order.run || task->run->phase != RunPhase::Starting)
         return false;
+    start.order.spec = state.jobs.find(start.order.task.job)->second.spec.spec;
     start.order.leaseUntil = extendLease(vm->second, state.limits, now);
     return true;
 }
@@ -27,7 +28,7 @@
     std::vector<StartAction> out;
     for (auto it = waiting.begin(); it != waiting.end();) {
         const auto job = state.jobs.find(it->first);
-        if (job != state.jobs.end() && !job->second.begun) {
+        if (job != state.jobs.end() && !(job->second.begun && job->second.hasSpec)) {
             ++it;
             continue;
         }
--- a/src/libscheduler/start_gate_test.cpp
+++ b/src/libscheduler/start_gate_test.cpp
@@ -73,4 +73,21 @@
     BOOST_TEST(starts().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(startsWaitForTheSpecOfTheirJob)
+{
+    auto spec = job("j1", { step(1) });
+    spec.specBytes = 4;
+    spec.spec.clear();
+    addJob(state, spec, "", false);
+    ordered();
+    auto& entry = state.jobs.at("j1");
+    entry.begun = true;
+    BOOST_TEST(ordered().empty());
+    entry.spec.spec = "cake";
+    entry.hasSpec = true;
+    const auto out = ordered();
+    BOOST_REQUIRE(out.size() == 1u);
+    BOOST_TEST(out[0].order.spec == "cake");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
