Count maintenance that an earlier coordinator had done

Ruled out: the platform (it accepts what is done already, by its terms), the machine (up, and used for other work meanwhile). Change: a machine that a list asked for after the order shows as up with the VM from before it counts as done.

--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -76,6 +76,8 @@
     void applyRows();
     void readMachines(TimePoint now);
     void takeMachines(std::vector<Machine> machines);
+    /// Finds tasks whose machine is up with its old VM after the order: it had been carried out before.
+    void noteDoneBefore();
     void beginTasks(TimePoint now);
     void beginTask(MachineTask task);
     void giveOrders(TimePoint now);
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -176,6 +176,24 @@
     }
     m_state.machines = std::move(read);
     m_read = true;
+    noteDoneBefore();
+}
+
+void MachineCoordinator::noteDoneBefore()
+{
+    for (auto& [id, task] : m_state.tasks) {
+        const auto machine = m_state.machines.find(id);
+        const auto ordered = m_orderedAt.find(id);
+        const bool seenSince = ordered != m_orderedAt.end() && ordered->second < m_readSince;
+        if (task.state != MachineTaskState::Ordered || task.oldVm.empty() || !seenSince
+            || machine == m_state.machines.end() || machine->second.state != MachineState::Up
+            || machine->second.vm != task.oldVm)
+            continue;
+        // The platform accepts what an earlier coordinator has had done, and then does nothing.
+        task.oldVm.clear();
+        m_changedTasks.insert(id);
+        m_ledger.markDirty();
+    }
 }
 
 void MachineCoordinator::beginTasks(TimePoint now)
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -22,6 +22,7 @@
 
     std::map<std::string, Machine> machines;
     int maintained = 0;
+    bool doneBefore = false; ///< orders are accepted and nothing is done
 
     void list(std::function<void(tl::expected<std::vector<Machine>, OrderOutcome>)> callback) override
     {
@@ -43,7 +44,8 @@
         EndpointControl::OrderCallback callback) override
     {
         ++maintained;
-        machines[machine].vm += "'";
+        if (!doneBefore)
+            machines[machine].vm += "'";
         later([callback] { callback(OrderOutcome::Accepted); });
     }
 
@@ -66,41 +68,74 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(waveOfMoreMachinesThanATransactionHoldsIsCarriedOut)
-{
-    constexpr int count = 150;
+/// A coordinator that has taken its lease, with wave 1.
+struct Coordinated {
+    Coordinated()
+        : table(loop.base())
+        , machines(loop.base())
+        , adapter(Registry<AdapterPlugin>::instance().find("fleet")->open(loop.base(), NodeSettings {}))
+    {
+    }
+
+    void begin()
+    {
+        const LeaseRow row { "n1", "s1", 0, 0 };
+        Version version = 0;
+        table.commit({ rows::poolPart(coordinatorPool), {},
+                         { { std::string(controlTable), std::string(leaseKey), encodeLease(row) } } },
+            1s, [&](TableResult<Version> result) { version = *result; });
+        BOOST_REQUIRE(loop.runUntil([&] { return version > 0; }, 1s));
+        coordinator = std::make_unique<MachineCoordinator>(
+            CoordinatorContext { loop.base(), clock, metrics, table, machines, *adapter.codec, fleetRows },
+            TakenLease { row, version, clock.now() }, LeaseLimits {}, [] {});
+        coordinator->begin(config, { { 1, wave } });
+    }
+
+    bool isReportedDone() const
+    {
+        const auto* found = table.find(adapter.codec->statusTable(), "", adapter.codec->waveStatusKey(1));
+        return found && found->value == adapter.codec->encodeWaveState(1, true);
+    }
+
     Loop loop;
     SystemClock clock;
     Metrics metrics;
-    FakeTable table(loop.base());
-    FakeMachines machines(loop.base());
-    const auto& plugins = Registry<AdapterPlugin>::instance();
-    BOOST_REQUIRE(plugins.find("fleet"));
-    const auto adapter = plugins.find("fleet")->open(loop.base(), NodeSettings {});
-    FleetRows rows;
+    FakeTable table;
+    FakeMachines machines;
+    Adapter adapter;
+    FleetRows fleetRows;
     FleetConfig config;
+    WaveRequest wave { 1, {}, 1s, 1 };
+    std::unique_ptr<MachineCoordinator> coordinator;
+};
+
+BOOST_FIXTURE_TEST_CASE(waveOfMoreMachinesThanATransactionHoldsIsCarriedOut, Coordinated)
+{
+    constexpr int count = 150;
     config.pools["off"] = { "off", true, false };
-    WaveRequest wave { 1, {}, 1s, count };
+    wave.maxDown = count;
     for (int i = 0; i < count; ++i) {
         const auto id = "m" + std::to_string(i);
         machines.machines[id] = { id, "off", MachineState::Up, "" };
         wave.machines.push_back(id);
     }
-    const LeaseRow row { "n1", "s1", 0, 0 };
-    Version version = 0;
-    const std::string control(controlTable);
-    table.commit(
-        { rows::poolPart(coordinatorPool), {}, { { control, std::string(leaseKey), encodeLease(row) } } }, 1s,
-        [&](TableResult<Version> result) { version = *result; });
-    BOOST_REQUIRE(loop.runUntil([&] { return version > 0; }, 1s));
-    MachineCoordinator coordinator({ loop.base(), clock, metrics, table, machines, *adapter.codec, rows },
-        TakenLease { row, version, clock.now() }, LeaseLimits {}, [] {});
-    coordinator.begin(config, { { 1, wave } });
-    const auto status = [&] {
-        const auto* found = table.find(adapter.codec->statusTable(), "", adapter.codec->waveStatusKey(1));
-        return found ? found->value : "";
-    };
-    BOOST_TEST(loop.runUntil([&] { return status() == adapter.codec->encodeWaveState(1, true); }, 20s));
+    begin();
+    BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 20s));
     BOOST_TEST(machines.maintained == count);
     BOOST_TEST(table.largestTransaction <= maxTransactionEntries);
 }
+
+BOOST_FIXTURE_TEST_CASE(maintenanceThatAnEarlierCoordinatorHadDoneCounts, Coordinated)
+{
+    // Soak, seed 122: the coordinator was lost between the order and its record; the next one's order was
+    // accepted without effect, and it waited for another VM for ever.
+    config.pools["a"] = { "a", false, false };
+    machines.machines["m1"] = { "m1", "a", MachineState::Up, "vm-2" };
+    machines.doneBefore = true;
+    wave.machines = { "m1" };
+    PoolLoad load;
+    load.empty = { "m1" };
+    fleetRows.apply({ rows::poolPart("a"), std::string(loadKey), encodeLoad(load), 1 });
+    begin();
+    BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 20s));
+}
