--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -44,6 +44,10 @@
     bool expired = false;
     Timer timer(m_base, [&] { expired = true; });
     timer.startOnce(limit);
+    // A loop whose callbacks keep making others active would not return for a single round.
+    constexpr std::chrono::milliseconds longestRound { 20 };
+    Timer pace(m_base, [this] { event_base_loopbreak(m_base); });
+    pace.startPeriodic(longestRound);
     while (!done() && !expired)
         event_base_loop(m_base, EVLOOP_ONCE);
     return done();
--- a/testsuite/harness/process.cpp
+++ b/testsuite/harness/process.cpp
@@ -16,15 +16,19 @@
     int output = -1;
 };
 
-Spawned spawn(
-    const std::vector<std::string>& arguments, const std::vector<std::string>& environment, bool withErrors)
+Spawned spawn(const std::vector<std::string>& arguments, const std::vector<std::string>& environment,
+    bool withErrors, const std::string& log = "")
 {
     int ends[2];
     if (pipe2(ends, O_CLOEXEC) != 0)
         return {};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (log.empty())
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    else
+        posix_spawn_file_actions_addopen(
+            &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     if (withErrors)
         posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
     std::vector<char*> argv;
@@ -68,9 +72,9 @@
     return result;
 }
 
-Process::Process(const std::vector<std::string>& arguments)
+Process::Process(const std::vector<std::string>& arguments, const std::string& log)
 {
-    auto child = spawn(arguments, {}, false);
+    auto child = spawn(arguments, {}, false, log);
     m_pid = child.pid;
     m_output = child.output;
 }
--- a/testsuite/harness/process.h
+++ b/testsuite/harness/process.h
@@ -25,7 +25,8 @@
 /// A running child process whose standard output is read line by line.
 class Process {
 public:
-    explicit Process(const std::vector<std::string>& arguments);
+    /// With \p log, standard output is appended to that file and can't be read here.
+    explicit Process(const std::vector<std::string>& arguments, const std::string& log = "");
     ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
--- a/testsuite/standins/standin_relay.cpp
+++ b/testsuite/standins/standin_relay.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// TCP relays between entry VMs, so that a test can cut peers off from each other. Each relay stands
-/// before one peer port; `/admin/relays` sets its target and whether bytes pass.
+/// TCP relays between processes, so that a test can cut them off from each other. Each relay stands before
+/// one port; `/admin/relays` sets its target and whether bytes pass, vanish or are late.
 #include <damaskworks/http.h>
 #include <damaskworks/log.h>
 #include <damaskworks/loop.h>
@@ -29,11 +29,20 @@
 
 class Relay;
 
+/// What a relay does with the bytes that pass.
+struct Trouble {
+    bool isCut = false; ///< connections are closed, new ones too
+    bool losesRequests = false; ///< bytes towards the target vanish
+    bool losesAnswers = false;
+    std::chrono::milliseconds delay { 0 };
+};
+
 /// Two sockets joined; ends when either ends.
 struct Pair {
     Relay* relay = nullptr;
     bufferevent* near = nullptr;
     bufferevent* far = nullptr;
+    std::unique_ptr<Timer> forwarding; ///< delayed bytes go on when it fires
     ~Pair()
     {
         bufferevent_free(near);
@@ -63,11 +72,11 @@
         return ntohs(bound.sin_port);
     }
 
-    void set(const Address& target, bool isCut)
+    void set(const Address& target, const Trouble& trouble)
     {
         m_target = target;
-        m_isCut = isCut;
-        if (isCut)
+        m_trouble = trouble;
+        if (trouble.isCut)
             m_pairs.clear();
     }
 
@@ -75,7 +84,7 @@
     static void onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument)
     {
         auto& self = *static_cast<Relay*>(argument);
-        if (self.m_isCut || self.m_target.port == 0) {
+        if (self.m_trouble.isCut || self.m_target.port == 0) {
             evutil_closesocket(socket);
             return;
         }
@@ -95,7 +104,22 @@
     static void onRead(bufferevent* from, void* argument)
     {
         auto& pair = *static_cast<Pair*>(argument);
-        bufferevent_write_buffer(from == pair.near ? pair.far : pair.near, bufferevent_get_input(from));
+        auto& self = *pair.relay;
+        auto* bytes = bufferevent_get_input(from);
+        const bool vanishes = from == pair.near ? self.m_trouble.losesRequests : self.m_trouble.losesAnswers;
+        if (vanishes)
+            evbuffer_drain(bytes, evbuffer_get_length(bytes));
+        if (self.m_trouble.delay.count() == 0)
+            return pass(pair);
+        if (!pair.forwarding)
+            pair.forwarding = std::make_unique<Timer>(self.m_base, [&pair] { pass(pair); });
+        pair.forwarding->startOnce(self.m_trouble.delay);
+    }
+
+    static void pass(Pair& pair)
+    {
+        bufferevent_write_buffer(pair.far, bufferevent_get_input(pair.near));
+        bufferevent_write_buffer(pair.near, bufferevent_get_input(pair.far));
     }
 
     static void onEvent(bufferevent*, short events, void* argument)
@@ -109,7 +133,7 @@
     event_base* m_base;
     evconnlistener* m_listener;
     Address m_target;
-    bool m_isCut = false;
+    Trouble m_trouble;
     std::vector<std::unique_ptr<Pair>> m_pairs;
 };
 
@@ -128,7 +152,10 @@
     HttpServer admin(loop.base(), {}, [&](std::shared_ptr<HttpExchange> exchange) {
         const auto body = json::parse(exchange->request().body, nullptr, false);
         const auto target = http::parseAddress(body.value("target", "")).value_or(Address {});
-        relays.at(body.value("relay", 0U))->set(target, body.value("cut", false));
+        const auto silent = body.value("silent", "");
+        const Trouble trouble { body.value("cut", false), silent == "requests" || silent == "both",
+            silent == "answers" || silent == "both", std::chrono::milliseconds(body.value("delayMs", 0)) };
+        relays.at(body.value("relay", 0U))->set(target, trouble);
         exchange->reply({ 200, {}, "{}" });
     });
     initializeLogging(LogLevel::Info, "relay");
