--- a/src/libfleet/timed_table.cpp
+++ b/src/libfleet/timed_table.cpp
@@ -22,7 +22,7 @@
                 noteSilence(m_commits);
             else
                 noteAnswer(m_commits, time);
-            callback(std::move(result));
+            callback(result);
         });
 }
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -234,7 +234,7 @@
         if (m_checker.isSettled(job) || job.handed == Handed::Unknown)
             continue;
         m_client.send(anyNode().place.callers, stateRequest(job.queue, id), callTimeout,
-            [this, id](const HttpResult& result) {
+            [this, id = id](const HttpResult& result) {
                 auto& job = m_checker.jobs.at(id);
                 if (!result || m_checker.isSettled(job))
                     return;
