--- a/src/damaskd/entry_pools.cpp
+++ b/src/damaskd/entry_pools.cpp
@@ -136,6 +136,7 @@
 
 void Entry::refreshGauges()
 {
+    m_metrics.gauge("damask_listed_vms", static_cast<double>(m_live.size()));
     for (const auto& [name, pool] : m_state.pools) {
         const std::string labels = "{pool=\"" + name + "\"}";
         const auto set = [this, &labels](std::string_view gauge, double value) {
--- a/testsuite/requests/leaving_test.cpp
+++ b/testsuite/requests/leaving_test.cpp
@@ -18,6 +18,8 @@
         declare("e1", fleet.endpoint("e1").address);
         declare("e2", fleet.endpoint("e2").address);
         BOOST_REQUIRE(fleet.eventually([&] { return gets("e1") && gets("e2"); }));
+        // A VM that the list has never shown may be new and gets work, so it can't go missing yet.
+        BOOST_REQUIRE(fleet.eventually([&] { return eachShows("damask_listed_vms 4"); }));
     }
 
     /// Whether one of some requests goes to the endpoint. The endpoint's own records are read.
@@ -34,16 +36,19 @@
         return fleet.runsOf(endpoint).size() > before;
     }
 
-    /// Whether each entry VM, by its own metrics, sends work to just \p count endpoints. They read the
-    /// list apart from each other, so that one may know of a change before the other does.
-    bool eachSendsTo(int count)
+    /// Whether each entry VM's own metrics have the line. They read the list apart from each other.
+    bool eachShows(const std::string& line)
     {
-        const auto line = "\ndamask_pool_endpoints{pool=\"pricing\"} " + std::to_string(count) + "\n";
-        const auto knows = [&](const char* node) {
+        const auto shows = [&](const char* node) {
             const auto result = fleet.call(fleet.daemon(node).admin, { "GET", "/metrics" });
-            return result && result->body.find(line) != std::string::npos;
+            return result && result->body.find("\n" + line + "\n") != std::string::npos;
         };
-        return knows("a") && knows("b");
+        return shows("a") && shows("b");
+    }
+
+    bool eachSendsTo(int count)
+    {
+        return eachShows("damask_pool_endpoints{pool=\"pricing\"} " + std::to_string(count));
     }
 };
 
