Tell time-outs of table reads from refusals, and log by which configuration a node answers

What was missing: the incident's log names each failed request for changes not_done, so a response that is too long for its time limit looks like a table that refuses, and answers to counts leave no line. No decision changes: TimedTable counts TimedOut as it counted NotApplied.

--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -26,6 +26,8 @@
     const JobDirectory& directory;
     /// Returns the time up to which the directory contains all changes of jobs in the table.
     std::function<TimePoint()> directoryCurrentAsOf;
+    /// Returns the time up to which the configuration contains all changes by the operators.
+    std::function<TimePoint()> configCurrentAsOf;
     const TableContact& tableContact;
 };
 
--- a/src/include/damaskworks/http.h
+++ b/src/include/damaskworks/http.h
@@ -145,6 +145,7 @@
 struct HttpClientError {
     HttpFailure failure = HttpFailure::Connect;
     bool mayHaveBeenSent = false; ///< whether the client may have sent any byte of the request
+    std::size_t receivedBytes = 0; ///< of the incomplete response
 };
 
 using HttpResult = tl::expected<HttpResponse, HttpClientError>;
--- a/src/include/damaskworks/shared_table.h
+++ b/src/include/damaskworks/shared_table.h
@@ -58,6 +58,7 @@
 /// Why a call to the table failed.
 enum class TableFailure {
     NotApplied, ///< the call had no effect
+    TimedOut, ///< a read got no complete response in time
     Overloaded, ///< the call had no effect; the table limits the rate of calls
     Unknown, ///< the write may have taken effect, or still may
     Conflict, ///< a precondition did not hold; the call had no effect
@@ -65,8 +66,9 @@
     Invalid, ///< the table rejected the call for good, or its response cannot be decoded
 };
 
-inline constexpr NameTable<TableFailure, 6> tableFailureNames { {
+inline constexpr NameTable<TableFailure, 7> tableFailureNames { {
     { TableFailure::NotApplied, "not_done" },
+    { TableFailure::TimedOut, "timed_out" },
     { TableFailure::Overloaded, "overloaded" },
     { TableFailure::Unknown, "unknown" },
     { TableFailure::Conflict, "conflict" },
--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,7 +78,8 @@
     Version m_version = 0;
     bool m_isLoaded = false;
     bool m_needsReload = true;
-    int m_failures = 0;
+    int m_failures = 0; ///< since the last response
+    std::set<TableFailure> m_loggedFailures; ///< kinds of failure logged since the last response
     TimePoint m_lastContact {};
     TimePoint m_currentAsOf {};
     TimePoint m_loadStartedAt {};
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -24,6 +24,11 @@
 
 std::string errorBody(std::string_view text) { return "{\"error\":\"" + std::string(text) + "\"}"; }
 
+std::string inMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
 } // namespace
 
 /// A caller's request in progress.
@@ -55,13 +60,14 @@
     const auto elapsed = m_context.clock.now() - call->receivedAt;
     m_context.metrics.count("caller_answers_total{status=\"" + std::to_string(status) + "\"}");
     m_context.metrics.observe("caller_answer_seconds", elapsed);
-    if (call->action == CallerAction::Submit || call->action == CallerAction::Cancel || status >= 400)
+    if (call->action != CallerAction::ReadState || status >= 400)
         logEvent(LogLevel::Info, "caller_answer",
             { { "method", call->exchange->request().method }, { "job", call->id },
                 { "queue", call->queue.name }, { "status", std::to_string(status) },
                 { "outcome", std::string(outcome) }, { "attempts", std::to_string(call->attempts) },
                 { "config", std::to_string(m_config ? m_config->version : 0) },
-                { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(elapsed).count()) } });
+                { "config_age_ms", inMilliseconds(m_context.clock.now() - m_context.configCurrentAsOf()) },
+                { "ms", inMilliseconds(elapsed) } });
     call->timer.reset();
     call->exchange->reply(std::move(response));
     --m_activeRequests;
--- a/src/libfleet/caller_service_test.cpp
+++ b/src/libfleet/caller_service_test.cpp
@@ -82,7 +82,7 @@
     FakeCodec codec;
     JobDirectory directory;
     CallerService service { { loop.base(), clock, metrics, table, codec, directory,
-        [this] { return clock.now(); }, contact } };
+        [this] { return clock.now(); }, [this] { return clock.now(); }, contact } };
 
     CallerFixture()
     {
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -52,7 +52,8 @@
     , m_session(m_settings.node + "-" + std::to_string(seed))
     , m_adapter(openAdapter(plugin, loop, m_settings, clock, m_metrics, m_tableContact))
     , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
-          [this] { return m_jobRows.currentAsOf(); }, m_tableContact })
+          [this] { return m_jobRows.currentAsOf(); }, [this] { return m_operatorRows.currentAsOf(); },
+          m_tableContact })
     , m_operatorRows(loop.base(), *m_adapter.table, clock, m_metrics,
           { m_adapter.codec->operatorTable(), false, milliseconds(0) }, seed + 1)
     , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
@@ -329,6 +330,9 @@
 {
     dropEndedHolders();
     m_metrics.gauge("pools_held", static_cast<double>(m_holders.size()));
+    m_metrics.gauge("config_version", m_config ? static_cast<double>(m_config->version) : 0);
+    m_metrics.gauge("config_age_seconds",
+        std::chrono::duration<double>(m_clock.now() - m_operatorRows.currentAsOf()).count());
     if (isReady() == m_wasReady)
         return;
     m_wasReady = isReady();
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -45,16 +45,19 @@
         logEvent(LogLevel::Info, "table_back",
             { { "table", m_settings.table }, { "failures", std::to_string(m_failures) } });
     m_failures = 0;
+    m_loggedFailures.clear();
     m_lastContact = m_clock.now();
 }
 
 void TableFollower::onFailure(TableFailure failure, bool needsReload)
 {
-    if (m_failures == 0)
+    // One line for each kind of failure, so that an outage that turns into time-outs shows both.
+    if (m_loggedFailures.insert(failure).second)
         logEvent(LogLevel::Warning, "table_lost",
             { { "table", m_settings.table }, { "failure", std::string(nameOf(tableFailureNames, failure)) },
-                { "version", std::to_string(m_version) } });
-    m_metrics.count("table_follow_failures_total{table=\"" + m_settings.table + "\"}");
+                { "version", std::to_string(m_version) }, { "failures", std::to_string(m_failures) } });
+    m_metrics.count("table_follow_failures_total{table=\"" + m_settings.table + "\",failure=\""
+        + std::string(nameOf(tableFailureNames, failure)) + "\"}");
     m_needsReload = m_needsReload || needsReload;
     const auto backoff = std::min(maxBackoff, initialBackoff * (1 << std::min(m_failures, 5)));
     ++m_failures;
--- a/src/libfleet/timed_table.cpp
+++ b/src/libfleet/timed_table.cpp
@@ -28,7 +28,7 @@
 {
     if (result || isResponse(result.error()))
         recordContact(m_contact, m_clock.now());
-    else if (result.error() == TableFailure::NotApplied)
+    else if (result.error() == TableFailure::NotApplied || result.error() == TableFailure::TimedOut)
         recordFailedContact(m_contact);
     // Unknown and Overloaded count neither way. After a lost response or a timeout the table may have
     // processed the call, or may be slow; and it reports overload to all nodes when many read at once. If the
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -94,9 +94,11 @@
         Connection connection;
         evhttp_request* raw = nullptr;
         evbuffer_cb_entry* outputCallback = nullptr; ///< sets hasSentBytes
+        evbuffer_cb_entry* inputCallback = nullptr; ///< counts receivedBytes
         event* timer = nullptr;
         HttpCallback callback;
         HttpFailure failure = HttpFailure::Connect;
+        std::size_t receivedBytes = 0;
         bool hasSentBytes = false;
         bool hasUnsolicitedBytes = false; ///< whether bytes arrived before the request was sent
         bool isHeadRequest = false;
@@ -204,6 +206,11 @@
         attempt.hasUnsolicitedBytes = evbuffer_get_length(bufferevent_get_input(bev)) > 0;
     }
 
+    static void onInput(evbuffer*, const evbuffer_cb_info* info, void* argument)
+    {
+        static_cast<Attempt*>(argument)->receivedBytes += info->n_added;
+    }
+
     static void onError(evhttp_request_error error, void* argument)
     {
         auto& attempt = *static_cast<Attempt*>(argument);
@@ -228,7 +235,9 @@
     {
         auto& attempt = *static_cast<Attempt*>(argument);
         attempt.client->finish(attempt.id,
-            tl::make_unexpected(HttpClientError { HttpFailure::Timeout, attempt.hasSentBytes }), true);
+            tl::make_unexpected(
+                HttpClientError { HttpFailure::Timeout, attempt.hasSentBytes, attempt.receivedBytes }),
+            true);
     }
 
     static void onDone(evhttp_request* request, void* argument)
@@ -241,7 +250,9 @@
             if (!attempt.hasSentBytes)
                 attempt.failure = HttpFailure::Connect;
             impl.finish(attempt.id,
-                tl::make_unexpected(HttpClientError { attempt.failure, attempt.hasSentBytes }), false);
+                tl::make_unexpected(
+                    HttpClientError { attempt.failure, attempt.hasSentBytes, attempt.receivedBytes }),
+                false);
             return;
         }
         const auto* headers = evhttp_request_get_input_headers(request);
@@ -282,6 +293,7 @@
         event_free(attempt.timer);
         auto* bev = evhttp_connection_get_bufferevent(attempt.connection.raw);
         evbuffer_remove_cb_entry(bufferevent_get_output(bev), attempt.outputCallback);
+        evbuffer_remove_cb_entry(bufferevent_get_input(bev), attempt.inputCallback);
         if (shouldCancel && attempt.raw) {
             evhttp_request_set_error_cb(attempt.raw, nullptr);
             evhttp_cancel_request(attempt.raw);
@@ -325,6 +337,7 @@
     attempt.connection = { connection, address };
     auto* bev = evhttp_connection_get_bufferevent(connection);
     attempt.outputCallback = evbuffer_add_cb(bufferevent_get_output(bev), Impl::onOutput, &attempt);
+    attempt.inputCallback = evbuffer_add_cb(bufferevent_get_input(bev), Impl::onInput, &attempt);
     attempt.timer = event_new(impl.base, -1, 0, Impl::onTimeout, &attempt);
     const auto limit = toTimeval(timeout);
     event_add(attempt.timer, &limit);
