--- a/testsuite/standins/standin_relay.cpp
+++ b/testsuite/standins/standin_relay.cpp
@@ -35,6 +35,32 @@
     bool losesRequests = false; ///< bytes to the target are discarded
     bool losesAnswers = false; ///< bytes from the target are discarded
     std::chrono::milliseconds delay { 0 }; ///< before bytes are forwarded
+    std::size_t bytesPerSecond = 0; ///< that all connections together carry each way; 0: no limit
+};
+
+/// Limits the bandwidth of a group of connections.
+class BandwidthLimit {
+public:
+    BandwidthLimit(event_base* base, std::size_t bytesPerSecond)
+    {
+        constexpr int ticksPerSecond = 50;
+        const timeval tick { 0, 1'000'000 / ticksPerSecond };
+        const auto rate = std::max<std::size_t>(bytesPerSecond / ticksPerSecond, 1); // of one tick
+        m_config = ev_token_bucket_cfg_new(rate, rate, rate, rate, &tick);
+        m_group = bufferevent_rate_limit_group_new(base, m_config);
+    }
+    ~BandwidthLimit()
+    {
+        bufferevent_rate_limit_group_free(m_group);
+        ev_token_bucket_cfg_free(m_config);
+    }
+    BandwidthLimit(const BandwidthLimit&) = delete;
+    BandwidthLimit& operator=(const BandwidthLimit&) = delete;
+    void add(bufferevent* connection) { bufferevent_add_to_rate_limit_group(connection, m_group); }
+
+private:
+    ev_token_bucket_cfg* m_config = nullptr;
+    bufferevent_rate_limit_group* m_group = nullptr;
 };
 
 /// A client connection joined to a connection to the target; both close when either closes.
@@ -76,8 +102,16 @@
     {
         m_target = target;
         m_faults = faults;
+        for (const auto& pair : m_pairs)
+            bufferevent_remove_from_rate_limit_group(pair->upstream);
+        m_limit.reset();
         if (faults.isCut)
             m_pairs.clear();
+        if (faults.bytesPerSecond == 0)
+            return;
+        m_limit = std::make_unique<BandwidthLimit>(m_base, faults.bytesPerSecond);
+        for (const auto& pair : m_pairs)
+            m_limit->add(pair->upstream);
     }
 
 private:
@@ -98,6 +132,8 @@
             bufferevent_setcb(end, onRead, nullptr, onEvent, pair.get());
             bufferevent_enable(end, EV_READ | EV_WRITE);
         }
+        if (self.m_limit)
+            self.m_limit->add(pair->upstream);
         self.m_pairs.push_back(std::move(pair));
     }
 
@@ -135,6 +171,7 @@
     evconnlistener* m_listener;
     Address m_target;
     RelayFaults m_faults;
+    std::unique_ptr<BandwidthLimit> m_limit; ///< of all pairs; outlives them
     std::vector<std::unique_ptr<ConnectionPair>> m_pairs;
 };
 
@@ -155,7 +192,8 @@
         const auto target = http::parseAddress(body.value("target", "")).value_or(Address {});
         const auto silent = body.value("silent", "");
         const RelayFaults faults { body.value("cut", false), silent == "requests" || silent == "both",
-            silent == "answers" || silent == "both", std::chrono::milliseconds(body.value("delayMs", 0)) };
+            silent == "answers" || silent == "both", std::chrono::milliseconds(body.value("delayMs", 0)),
+            body.value("bytesPerSecond", std::size_t { 0 }) };
         relays.at(body.value("relay", 0U))->set(target, faults);
         exchange->reply({ 200, {}, "{}" });
     });
