Let a response from the table take as long as its bytes keep arriving

What callers saw: nodes with slow links answered by a configuration that had been replaced seconds before, 404 for queues that exist among it. Cause: a request for changes, and any read of the table, ended at a fixed time after it was sent, 1.9 or 1.2 s, whatever had arrived. Configurations of 1.4 MB did not fit into that on 10 Mbit/s, each retry began again with the first byte, and the retries filled the link.

The client now limits the time to the first byte, the pause between two arrivals, and, far above both, the whole. A dead connection or a table that says nothing is noticed as fast as before, and a transfer that makes progress ends.

--- a/src/include/damaskworks/http.h
+++ b/src/include/damaskworks/http.h
@@ -154,6 +154,13 @@
 /// Identifies an attempt for cancellation. 0 is never assigned.
 using HttpAttemptId = std::uint64_t;
 
+/// Time limits of a request whose response may be large for the link that it comes over.
+struct HttpTimeouts {
+    std::chrono::milliseconds firstByte; ///< from sending until the response begins to arrive
+    std::chrono::milliseconds stall; ///< between two arrivals of bytes of the response
+    std::chrono::milliseconds total; ///< from sending until the response is complete
+};
+
 /// HTTP client that keeps idle connections per address for reuse. A connection carries one request at a time.
 /// The client closes a connection that has unread bytes, because they could be taken for the next response.
 class HttpClient {
@@ -162,9 +169,12 @@
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
-    /// Sends \p request; calls \p callback exactly once, never from within this call.
+    /// Sends \p request; calls \p callback exactly once, never from within this call. With a \p timeout, the
+    /// response must be complete by then.
     HttpAttemptId send(const Address& address, const HttpRequest& request, std::chrono::milliseconds timeout,
         HttpCallback callback);
+    HttpAttemptId send(const Address& address, const HttpRequest& request, const HttpTimeouts& timeouts,
+        HttpCallback callback);
     /// Cancels an attempt and closes its connection. Does not call its callback.
     void cancel(HttpAttemptId attempt);
     /// Closes the idle connections to \p address.
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -95,7 +95,9 @@
         evhttp_request* raw = nullptr;
         evbuffer_cb_entry* outputCallback = nullptr; ///< sets hasSentBytes
         evbuffer_cb_entry* inputCallback = nullptr; ///< counts receivedBytes
-        event* timer = nullptr;
+        event* timer = nullptr; ///< for HttpTimeouts::total
+        event* arrivalTimer = nullptr; ///< for the other limits of HttpTimeouts
+        timeval stallTimeout {};
         HttpCallback callback;
         HttpFailure failure = HttpFailure::Connect;
         std::size_t receivedBytes = 0;
@@ -208,7 +210,10 @@
 
     static void onInput(evbuffer*, const evbuffer_cb_info* info, void* argument)
     {
-        static_cast<Attempt*>(argument)->receivedBytes += info->n_added;
+        auto& attempt = *static_cast<Attempt*>(argument);
+        attempt.receivedBytes += info->n_added;
+        if (info->n_added > 0)
+            event_add(attempt.arrivalTimer, &attempt.stallTimeout);
     }
 
     static void onError(evhttp_request_error error, void* argument)
@@ -291,6 +296,7 @@
     void cleanUp(Attempt& attempt, bool shouldCancel, bool isReusable)
     {
         event_free(attempt.timer);
+        event_free(attempt.arrivalTimer);
         auto* bev = evhttp_connection_get_bufferevent(attempt.connection.raw);
         evbuffer_remove_cb_entry(bufferevent_get_output(bev), attempt.outputCallback);
         evbuffer_remove_cb_entry(bufferevent_get_input(bev), attempt.inputCallback);
@@ -322,6 +328,12 @@
 
 HttpAttemptId HttpClient::send(const Address& address, const HttpRequest& request,
     std::chrono::milliseconds timeout, HttpCallback callback)
+{
+    return send(address, request, HttpTimeouts { timeout, timeout, timeout }, std::move(callback));
+}
+
+HttpAttemptId HttpClient::send(
+    const Address& address, const HttpRequest& request, const HttpTimeouts& timeouts, HttpCallback callback)
 {
     auto& impl = *m_impl;
     auto owned = std::make_unique<Impl::Attempt>();
@@ -339,8 +351,12 @@
     attempt.outputCallback = evbuffer_add_cb(bufferevent_get_output(bev), Impl::onOutput, &attempt);
     attempt.inputCallback = evbuffer_add_cb(bufferevent_get_input(bev), Impl::onInput, &attempt);
     attempt.timer = event_new(impl.base, -1, 0, Impl::onTimeout, &attempt);
-    const auto limit = toTimeval(timeout);
-    event_add(attempt.timer, &limit);
+    attempt.arrivalTimer = event_new(impl.base, -1, 0, Impl::onTimeout, &attempt);
+    attempt.stallTimeout = toTimeval(timeouts.stall);
+    const auto total = toTimeval(timeouts.total);
+    const auto firstByte = toTimeval(timeouts.firstByte);
+    event_add(attempt.timer, &total);
+    event_add(attempt.arrivalTimer, &firstByte);
 
     attempt.raw = evhttp_request_new(Impl::onDone, &attempt);
     evhttp_request_set_error_cb(attempt.raw, Impl::onError);
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -215,3 +215,63 @@
         BOOST_TEST(send(endpoint, "/x")->body == "ok");
     BOOST_TEST(endpoint.connections() == 1);
 }
+
+namespace {
+
+/// Sends a response of ten bytes: one when the request arrives, then one more every \p interval, of \p count.
+struct TricklingEndpoint {
+    TricklingEndpoint(event_base* base, std::chrono::milliseconds interval, int count)
+        : timer(base,
+            [this, count] {
+                if (sent++ < count)
+                    connection->send("x");
+            })
+        , endpoint(base, [this, interval](const auto& accepted, const std::string&) {
+            connection = accepted;
+            connection->send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nx");
+            timer.startPeriodic(interval);
+        })
+    {
+    }
+
+    int sent = 1;
+    std::shared_ptr<RawConnection> connection;
+    Timer timer;
+    RawEndpoint endpoint;
+};
+
+} // namespace
+
+// A large response on a slow link takes long in all, but bytes keep arriving.
+BOOST_FIXTURE_TEST_CASE(responseIsNotCutOffWhileItsBytesKeepArriving, ClientFixture)
+{
+    TricklingEndpoint trickling(loop.base(), 60ms, 10);
+    std::optional<HttpResult> result;
+    client.send(trickling.endpoint.address(), { .path = "/" }, HttpTimeouts { 300ms, 300ms, 5s },
+        [&](HttpResult response) { result = std::move(response); });
+    BOOST_REQUIRE(loop.runUntil([&] { return result.has_value(); }, 5s));
+    BOOST_REQUIRE(result->has_value());
+    BOOST_TEST((*result)->body == "xxxxxxxxxx");
+}
+
+BOOST_FIXTURE_TEST_CASE(responseThatStopsArrivingTimesOut, ClientFixture)
+{
+    TricklingEndpoint trickling(loop.base(), 20ms, 5);
+    std::optional<HttpResult> result;
+    client.send(trickling.endpoint.address(), { .path = "/" }, HttpTimeouts { 5s, 200ms, 5s },
+        [&](HttpResult response) { result = std::move(response); });
+    BOOST_REQUIRE(loop.runUntil([&] { return result.has_value(); }, 3s));
+    BOOST_REQUIRE(!result->has_value());
+    BOOST_TEST((result->error().failure == HttpFailure::Timeout));
+    BOOST_TEST(result->error().receivedBytes > 5U);
+}
+
+BOOST_FIXTURE_TEST_CASE(responseThatNeverCompletesTimesOut, ClientFixture)
+{
+    TricklingEndpoint trickling(loop.base(), 100ms, 9);
+    std::optional<HttpResult> result;
+    client.send(trickling.endpoint.address(), { .path = "/" }, HttpTimeouts { 1s, 1s, 400ms },
+        [&](HttpResult response) { result = std::move(response); });
+    BOOST_REQUIRE(loop.runUntil([&] { return result.has_value(); }, 700ms));
+    BOOST_TEST(!result->has_value());
+}
