Read the newest configuration instead of each one that was missed

Cause: after lost contact a node asked the operators' table for the changes since, and got every version of the configuration: four of 0.45 MB, then two more, each decoded in 0.16 s of a weak node's processor.

After a failed request, or a response with several versions of one row, a follower of large rows now reads the rows. The rows of a batch are decoded once, the newest of each key. Followers of the other tables, whose rows are small and many, ask for changes as before.

--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -91,6 +91,8 @@
     LeaseTiming m_leaseTiming;
     JobDirectory m_directory;
     std::shared_ptr<const FleetConfig> m_config;
+    /// Rows of the current batch of operators' changes, by key. Only the newest row of a key is decoded.
+    std::map<std::string, TableRow> m_newOperatorRows;
     std::map<std::string, VmRegistration> m_vms;
     std::map<std::int64_t, WaveRequest> m_waves;
     std::set<std::string> m_pools; ///< pools that need a holder
--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -21,6 +21,9 @@
     std::string table;
     bool isPartitioned = false; ///< false: all rows are in the part with the empty name
     std::chrono::milliseconds pauseAfterChanges { 0 }; ///< so that the next request returns several changes
+    /// After a failed request, or a response with several versions of one row, read the rows instead of the
+    /// changes since. For tables whose rows are few and large.
+    bool readsRowsWhenBehind = false;
 };
 
 /// Follows one table and passes changes to its listeners in order of version. If the table no longer keeps
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace damask::fleet {
 namespace {
@@ -55,7 +56,7 @@
           [this] { return m_jobRows.currentAsOf(); }, [this] { return m_operatorRows.currentAsOf(); },
           m_tableContact })
     , m_operatorRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          { m_adapter.codec->operatorTable(), false, milliseconds(0) }, seed + 1)
+          { m_adapter.codec->operatorTable(), false, milliseconds(0), true }, seed + 1)
     , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
           { std::string(controlTable), true, controlTablePause }, seed + 2)
     , m_jobRows(loop.base(), *m_adapter.table, clock, m_metrics,
@@ -114,9 +115,13 @@
     m_operatorRows.setListeners(
         [this](const std::vector<TableRow>& rows) {
             for (const auto& row : rows)
-                applyOperatorRow(row);
+                m_newOperatorRows[row.key] = row;
         },
-        [this](const TableRow& row) { applyOperatorRow(row); }, [] {});
+        [this](const TableRow& row) { m_newOperatorRows[row.key] = row; },
+        [this] {
+            for (const auto& [key, row] : std::exchange(m_newOperatorRows, {}))
+                applyOperatorRow(row);
+        });
     m_controlRows.setListeners(
         [this](const std::vector<TableRow>& rows) {
             m_election.reset(rows);
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -15,6 +15,17 @@
 constexpr milliseconds initialBackoff { 50 };
 constexpr milliseconds maxBackoff { 400 };
 
+/// Whether \p changes contain several versions of one row.
+bool hasSupersededRows(const TableRows& changes)
+{
+    std::set<std::pair<std::string_view, std::string_view>> rows;
+    for (const auto& row : changes.rows) {
+        if (!rows.emplace(row.part, row.key).second)
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 TableFollower::TableFollower(event_base* base, SharedTable& table, const Clock& clock, Metrics& metrics,
@@ -58,7 +69,7 @@
                 { "version", std::to_string(m_version) }, { "failures", std::to_string(m_failures) } });
     m_metrics.count("table_follow_failures_total{table=\"" + m_settings.table + "\",failure=\""
         + std::string(nameOf(tableFailureNames, failure)) + "\"}");
-    m_needsReload = m_needsReload || needsReload;
+    m_needsReload = m_needsReload || needsReload || m_settings.readsRowsWhenBehind;
     const auto backoff = std::min(maxBackoff, initialBackoff * (1 << std::min(m_failures, 5)));
     ++m_failures;
     scheduleNext(backoff / 2 + milliseconds(m_random() % static_cast<std::uint64_t>(backoff.count())));
@@ -145,6 +156,7 @@
             onSuccess();
             // A response without changes means that the table waited for the whole time.
             m_currentAsOf = rows->rows.empty() ? sentAt + maxFollowWait : sentAt;
+            m_needsReload = m_settings.readsRowsWhenBehind && hasSupersededRows(*rows);
             applyChanges(*rows);
             scheduleNext(rows->rows.empty() ? milliseconds(0) : m_settings.pauseAfterChanges);
         });
--- /dev/null
+++ b/src/libfleet/table_follower_test.cpp
@@ -0,0 +1,124 @@
+/// \file
+/// Tests which requests a TableFollower makes and up to when it says that it is current.
+#include "fakes_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <damaskworks/table_follower.h>
+
+using namespace damask;
+using namespace damask::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Table whose responses to requests for changes are written by the test.
+class ScriptedTable final : public SharedTable {
+public:
+    explicit ScriptedTable(FakeTable& rows)
+        : m_rows(rows)
+    {
+    }
+    void commit(const TableTransaction&, std::chrono::milliseconds, TableCallback<Version>) override { }
+    void read(const std::string& table, const std::string& part, const std::string& from, int limit,
+        TableCallback<TableRows> callback) override
+    {
+        ++reads;
+        m_rows.read(table, part, from, limit, std::move(callback));
+    }
+    void parts(const std::string& table, const std::string& after,
+        TableCallback<std::vector<std::string>> callback) override
+    {
+        m_rows.parts(table, after, std::move(callback));
+    }
+    void follow(const std::string&, Version after, std::chrono::milliseconds wait,
+        TableCallback<TableRows> callback) override
+    {
+        followedFrom = after;
+        followWait = wait;
+        pending = std::move(callback);
+    }
+    void respond(TableResult<TableRows> result) { std::exchange(pending, {})(std::move(result)); }
+
+    int reads = 0;
+    Version followedFrom = 0;
+    std::chrono::milliseconds followWait { 0 };
+    TableCallback<TableRows> pending; ///< of the open request for changes
+
+private:
+    FakeTable& m_rows;
+};
+
+struct FollowerFixture {
+    Loop loop;
+    ManualClock clock;
+    Metrics metrics;
+    FakeTable rows { loop.base() };
+    ScriptedTable table { rows };
+    std::vector<std::string> applied;
+
+    void listen(TableFollower& follower)
+    {
+        follower.setListeners(
+            [this](const std::vector<TableRow>& all) {
+                for (const auto& row : all)
+                    applied.push_back("read " + row.value);
+            },
+            [this](const TableRow& row) { applied.push_back("change " + row.value); }, [] {});
+        follower.start();
+        waitForRequest();
+    }
+
+    /// Runs the loop until a request for changes is open.
+    void waitForRequest()
+    {
+        BOOST_REQUIRE(loop.runUntil([this] { return bool(table.pending); }, 5s));
+    }
+
+    void write(const std::string& value)
+    {
+        rows.commit({ "", {}, { { "op", "config", value } } }, 1s, [](const auto&) {});
+        loop.runUntil([] { return false; }, 5ms);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(
+    followerOfLargeRowsReadsTheNewestRowAfterAFailureInsteadOfEachVersion, FollowerFixture)
+{
+    TableFollower follower(loop.base(), table, clock, metrics, { "op", false, 0ms, true }, 1);
+    write("1");
+    listen(follower);
+    for (const char* version : { "2", "3", "4" })
+        write(version);
+    table.respond(tl::make_unexpected(TableFailure::TimedOut));
+    waitForRequest();
+    BOOST_TEST(
+        applied == (std::vector<std::string> { "read 1", "read 4" }), boost::test_tools::per_element());
+    BOOST_TEST(table.followedFrom == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(followerOfLargeRowsReadsTheNewestRowAfterSeveralVersionsAtOnce, FollowerFixture)
+{
+    TableFollower follower(loop.base(), table, clock, metrics, { "op", false, 0ms, true }, 1);
+    write("1");
+    listen(follower);
+    for (const char* version : { "2", "3", "4" })
+        write(version);
+    table.respond(TableRows { 3, { { "", "config", "2", 2 }, { "", "config", "3", 3 } } });
+    waitForRequest();
+    BOOST_TEST(applied.back() == "read 4");
+    BOOST_TEST(table.followedFrom == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(followerOfSmallRowsAsksForTheMissedChangesAfterAFailure, FollowerFixture)
+{
+    TableFollower follower(loop.base(), table, clock, metrics, { "op", false, 0ms, false }, 1);
+    write("1");
+    listen(follower);
+    table.respond(tl::make_unexpected(TableFailure::TimedOut));
+    waitForRequest();
+    BOOST_TEST(table.reads == 1);
+    BOOST_TEST(table.followedFrom == 1U);
+}
