Don't decide about requests by a configuration that may have been replaced

What callers saw: counts of a dropped queue answered 200, 404 for queues that exist, and jobs accepted, by a configuration replaced six seconds before. Cause: a node reported itself ready and answered as long as the tables of jobs and of control responded; how old its configuration was played no part.

A node now knows since when it has not been shown that its configuration is the newest. Past the bound of the settings it is not ready and refuses new jobs, counts and the denial of a queue at once, with a Retry-After of 1 s: another node can serve them. States and cancellations of known jobs are served on. Only a response without changes proves the configuration to be the newest, so each one with changes is followed by a request that doesn't wait; on sites with a bound of 2 s the request for changes waits 0.5 s.

--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -28,6 +28,8 @@
     std::function<TimePoint()> directoryCurrentAsOf;
     /// Returns the time up to which the configuration contains all changes by the operators.
     std::function<TimePoint()> configCurrentAsOf;
+    /// Age from which a configuration may have been replaced for too long to decide about requests.
+    milliseconds maxConfigAge;
     const TableContact& tableContact;
 };
 
@@ -57,6 +59,8 @@
     /// Calls \p operation again after a backoff.
     void retry(const CallPointer& call, void (CallerService::*operation)(const CallPointer&));
     bool hasTimeLeft(const Call& call) const;
+    bool isConfigOutdated() const;
+    void refuseByOutdatedConfig(const CallPointer& call);
     milliseconds attemptTimeout(const Call& call) const;
     /// Replies, and logs and counts the response. \p outcome goes into the log only.
     void reply(const CallPointer& call, int status, std::string body, std::string_view outcome);
--- a/src/include/damaskworks/deployment.h
+++ b/src/include/damaskworks/deployment.h
@@ -27,6 +27,7 @@
     std::uint16_t firstInternalPort = 0; ///< first port of the range for the system's own use
     milliseconds stopGrace { 0 }; ///< from SIGTERM to SIGKILL
     milliseconds maxLease { 0 }; ///< longest lease that a VM grants for its tasks
+    milliseconds configApplyTime { 0 }; ///< within which a new configuration must be in force
     milliseconds endedJobRetention { 0 }; ///< how long callers can read the state of an ended job
     double cpuShare = 1; ///< cores that the process may use
     double linkMbps = 1000; ///< bandwidth of the node's network link
--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -24,6 +24,12 @@
     /// After a failed request, or a response with several versions of one row, read the rows instead of the
     /// changes since. For tables whose rows are few and large.
     bool readsRowsWhenBehind = false;
+    /// Longest wait of one request for a change. It is short so that the follower detects a dead connection
+    /// well within the time in which a new configuration must be in force.
+    std::chrono::milliseconds maxWait { 1000 };
+    /// Follow each response that has rows with a request that does not wait, so that currentAsOf() is recent
+    /// again at once.
+    bool confirmsChanges = false;
 };
 
 /// Follows one table and passes changes to its listeners in order of version. If the table no longer keeps
@@ -49,7 +55,8 @@
     Version version() const { return m_version; }
     /// Time of the last response.
     TimePoint lastContact() const { return m_lastContact; }
-    /// Time up to which all changes have been passed on. Earlier than lastContact() if a response took long.
+    /// Time up to which all changes have been passed on. Earlier than lastContact() if a response took long,
+    /// or may not have held all changes.
     TimePoint currentAsOf() const { return m_currentAsOf; }
 
 private:
@@ -81,6 +88,7 @@
     Version m_version = 0;
     bool m_isLoaded = false;
     bool m_needsReload = true;
+    bool m_needsConfirmation = false; ///< the next request does not wait for changes
     int m_failures = 0; ///< since the last response
     std::set<TableFailure> m_loggedFailures; ///< kinds of failure logged since the last response
     TimePoint m_lastContact {};
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -85,7 +85,8 @@
     const auto host = http::header(request.headers, "host").value_or("");
     const auto* queue = m_config->route(host.substr(0, host.find(':')), request.path);
     if (!queue)
-        return reply(call, 404, errorBody("no such queue"), "no_queue");
+        return isConfigOutdated() ? refuseByOutdatedConfig(call)
+                                  : reply(call, 404, errorBody("no such queue"), "no_queue");
     call->queue = *queue;
     call->id = request.path.substr(queue->prefix.size());
     call->action = m_context.codec.action(request.method, call->id);
@@ -102,6 +103,8 @@
     case CallerAction::Cancel:
         return cancel(call);
     case CallerAction::CountPending:
+        if (isConfigOutdated())
+            return refuseByOutdatedConfig(call);
         if (!m_directoryLoaded)
             return reply(call, 503, errorBody("jobs are not loaded yet"), "not_loaded");
         if (m_context.clock.now() - m_context.directoryCurrentAsOf() > maxCountAge)
@@ -113,6 +116,18 @@
     }
 }
 
+bool CallerService::isConfigOutdated() const
+{
+    return m_context.clock.now() - m_context.configCurrentAsOf() > m_context.maxConfigAge;
+}
+
+/// The queue may have been added, dropped or moved to another pool since. States and cancellations of known
+/// jobs don't depend on that and are served.
+void CallerService::refuseByOutdatedConfig(const CallPointer& call)
+{
+    reply(call, 503, errorBody("the configuration may be out of date"), "config_outdated");
+}
+
 bool CallerService::hasTimeLeft(const Call& call) const
 {
     return m_context.clock.now() + minAttemptTimeout < call.deadline;
@@ -139,6 +154,8 @@
         return reply(call, 413, errorBody("body too large"), "too_large");
     if (m_context.directory.find(call->id))
         return reply(call, 200, "{}", "known");
+    if (isConfigOutdated())
+        return refuseByOutdatedConfig(call);
     auto job = m_context.codec.decodeSubmission(body);
     if (!job)
         return reply(call, 400, errorBody(describe(job.error())), "invalid");
--- a/src/libfleet/caller_service_test.cpp
+++ b/src/libfleet/caller_service_test.cpp
@@ -14,10 +14,10 @@
 
 class FakeExchange final : public HttpExchange {
 public:
-    explicit FakeExchange(std::string id)
+    explicit FakeExchange(std::string id, std::string_view prefix = "/quotes/")
     {
         m_request.method = "POST";
-        m_request.path = "/quotes/" + std::move(id);
+        m_request.path = std::string(prefix) + std::move(id);
         m_request.headers = { { "Host", "shop.example" } };
     }
     const HttpRequest& request() const override { return m_request; }
@@ -81,8 +81,9 @@
     TimedTable table { std::unique_ptr<SharedTable>(fakeTable), clock, metrics, contact };
     FakeCodec codec;
     JobDirectory directory;
+    Duration configAge {};
     CallerService service { { loop.base(), clock, metrics, table, codec, directory,
-        [this] { return clock.now(); }, [this] { return clock.now(); }, contact } };
+        [this] { return clock.now(); }, [this] { return clock.now() - configAge; }, 3000ms, contact } };
 
     CallerFixture()
     {
@@ -97,9 +98,9 @@
         service.setConfig(std::make_shared<const FleetConfig>(config));
     }
 
-    std::shared_ptr<FakeExchange> submit(const std::string& id)
+    std::shared_ptr<FakeExchange> submit(const std::string& id, std::string_view prefix = "/quotes/")
     {
-        auto exchange = std::make_shared<FakeExchange>(id);
+        auto exchange = std::make_shared<FakeExchange>(id, prefix);
         service.handle(exchange);
         loop.runUntil([&] { return exchange->sentResponse.has_value(); }, 10s);
         BOOST_REQUIRE(exchange->sentResponse);
@@ -187,4 +188,32 @@
     BOOST_TEST(isStored("a1"));
 }
 
+// A node that had been turned away by the table answered by a configuration replaced seconds before.
+BOOST_AUTO_TEST_CASE(newJobsAreRefusedByAConfigurationThatMayBeOutOfDate)
+{
+    configAge = 3000ms;
+    BOOST_TEST(submit("a1")->sentResponse->status == 200);
+    configAge = 3001ms;
+    const auto refused = submit("a2");
+    BOOST_TEST(refused->sentResponse->status == 503);
+    BOOST_TEST(http::header(refused->sentResponse->headers, "Retry-After").value_or("") == "1");
+    BOOST_TEST(!isStored("a2"));
+}
+
+BOOST_AUTO_TEST_CASE(noQueueIsDeniedByAConfigurationThatMayBeOutOfDate)
+{
+    BOOST_TEST(submit("a1", "/added/")->sentResponse->status == 404);
+    configAge = 3001ms;
+    BOOST_TEST(submit("a1", "/added/")->sentResponse->status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(knownJobIsStillConfirmedByAConfigurationThatMayBeOutOfDate)
+{
+    submit("a1");
+    directory.apply(
+        *fakeTable->find(std::string(jobTable), rows::jobPart("quotes", "a1"), rows::jobKey("a1")));
+    configAge = 3001ms;
+    BOOST_TEST(submit("a1")->sentResponse->status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -33,6 +33,18 @@
 constexpr milliseconds exitMargin { 500 };
 constexpr milliseconds stopCheckInterval { 50 };
 
+FollowSettings operatorTableSettings(const Codec& codec, const NodeSettings& settings)
+{
+    FollowSettings out;
+    out.table = codec.operatorTable();
+    out.readsRowsWhenBehind = true;
+    // The age of the configuration reaches this wait and two response times between two responses.
+    constexpr int waitsPerApplyTime = 4;
+    out.maxWait = std::min(out.maxWait, settings.configApplyTime / waitsPerApplyTime);
+    out.confirmsChanges = true;
+    return out;
+}
+
 Adapter openAdapter(const AdapterPlugin& plugin, Loop& loop, const NodeSettings& settings, const Clock& clock,
     Metrics& metrics, TableContact& contact)
 {
@@ -54,9 +66,9 @@
     , m_adapter(openAdapter(plugin, loop, m_settings, clock, m_metrics, m_tableContact))
     , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
           [this] { return m_jobRows.currentAsOf(); }, [this] { return m_operatorRows.currentAsOf(); },
-          m_tableContact })
+          m_settings.configApplyTime, m_tableContact })
     , m_operatorRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          { m_adapter.codec->operatorTable(), false, milliseconds(0), true }, seed + 1)
+          operatorTableSettings(*m_adapter.codec, m_settings), seed + 1)
     , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
           { std::string(controlTable), true, controlTablePause }, seed + 2)
     , m_jobRows(loop.base(), *m_adapter.table, clock, m_metrics,
@@ -329,7 +341,11 @@
     return !m_stopping && m_config && m_jobRows.isLoaded() && hasRecentContact(maxContactAgeToServe);
 }
 
-bool FleetNode::isReady() const { return canServe() && looksReachable(m_tableContact, m_clock.now()); }
+bool FleetNode::isReady() const
+{
+    return canServe() && looksReachable(m_tableContact, m_clock.now())
+        && m_clock.now() - m_operatorRows.currentAsOf() <= m_settings.configApplyTime;
+}
 
 void FleetNode::tick()
 {
@@ -347,6 +363,10 @@
             { "table_silent_ms",
                 std::to_string(
                     std::chrono::duration_cast<milliseconds>(m_clock.now() - m_tableContact.lastResponse)
+                        .count()) },
+            { "config_age_ms",
+                std::to_string(
+                    std::chrono::duration_cast<milliseconds>(m_clock.now() - m_operatorRows.currentAsOf())
                         .count()) } });
 }
 
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -2,19 +2,16 @@
 #include <damaskworks/table_follower.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace damask::fleet {
 namespace {
 
 using std::chrono::milliseconds;
 
-/// Longest wait of one request for a change. It is short so that the follower detects a dead connection well
-/// within the time in which a new configuration must be in force.
-constexpr milliseconds maxFollowWait { 1000 };
 constexpr int rowsPerPage = 500;
 constexpr milliseconds initialBackoff { 50 };
 constexpr milliseconds maxBackoff { 400 };
-
 /// Whether \p changes contain several versions of one row.
 bool hasSupersededRows(const TableRows& changes)
 {
@@ -90,21 +87,22 @@
 
 void TableFollower::readPart(const std::string& part, const std::string& from)
 {
-    m_table.read(m_settings.table, part, from, rowsPerPage, [this, part](TableResult<TableRows> rows) {
-        if (!rows)
-            return onFailure(rows.error(), true);
-        onSuccess();
-        if (m_loadVersion == 0)
-            m_loadVersion = rows->version;
-        const bool hasMorePages = rows->hasMore && !rows->rows.empty();
-        // A read includes its first key; the suffix skips the last row of this page.
-        const std::string lastKey = hasMorePages ? rows->rows.back().key : "";
-        for (auto& row : rows->rows)
-            m_loadedRows.push_back(std::move(row));
-        if (hasMorePages)
-            return readPart(part, lastKey + '\x01');
-        readNextPart();
-    });
+    m_table.read(m_settings.table, part, from, rowsPerPage,
+        [this, part](TableResult<TableRows> rows) {
+            if (!rows)
+                return onFailure(rows.error(), true);
+            onSuccess();
+            if (m_loadVersion == 0)
+                m_loadVersion = rows->version;
+            const bool hasMorePages = rows->hasMore && !rows->rows.empty();
+            // A read includes its first key; the suffix skips the last row of this page.
+            const std::string lastKey = hasMorePages ? rows->rows.back().key : "";
+            for (auto& row : rows->rows)
+                m_loadedRows.push_back(std::move(row));
+            if (hasMorePages)
+                return readPart(part, lastKey + '\x01');
+            readNextPart();
+        });
 }
 
 void TableFollower::readNextPart()
@@ -139,6 +137,7 @@
     m_needsReload = false;
     m_isLoaded = true;
     m_currentAsOf = m_loadStartedAt;
+    m_needsConfirmation = m_settings.confirmsChanges;
     if (m_onReset)
         m_onReset(m_loadedRows);
     m_loadedRows.clear();
@@ -149,16 +148,22 @@
 
 void TableFollower::follow()
 {
-    m_table.follow(m_settings.table, m_version, maxFollowWait,
-        [this, sentAt = m_clock.now()](TableResult<TableRows> rows) {
+    const auto wait = std::exchange(m_needsConfirmation, false) ? milliseconds(0) : m_settings.maxWait;
+    m_table.follow(
+        m_settings.table, m_version, wait, [this, wait, sentAt = m_clock.now()](TableResult<TableRows> rows) {
             if (!rows)
                 return onFailure(rows.error(), rows.error() == TableFailure::HistoryTruncated);
             onSuccess();
+            const bool hasChanges = !rows->rows.empty();
             // A response without changes means that the table waited for the whole time.
-            m_currentAsOf = rows->rows.empty() ? sentAt + maxFollowWait : sentAt;
+            if (!hasChanges)
+                m_currentAsOf = sentAt + wait;
+            else if (!m_settings.confirmsChanges)
+                m_currentAsOf = sentAt;
             m_needsReload = m_settings.readsRowsWhenBehind && hasSupersededRows(*rows);
+            m_needsConfirmation = hasChanges && m_settings.confirmsChanges;
             applyChanges(*rows);
-            scheduleNext(rows->rows.empty() ? milliseconds(0) : m_settings.pauseAfterChanges);
+            scheduleNext(hasChanges ? m_settings.pauseAfterChanges : milliseconds(0));
         });
 }
 
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -122,3 +122,25 @@
     BOOST_TEST(table.reads == 1);
     BOOST_TEST(table.followedFrom == 1U);
 }
+
+BOOST_FIXTURE_TEST_CASE(changesProveNothingUntilARequestThatDoesNotWaitFindsNone, FollowerFixture)
+{
+    FollowSettings settings { "op" };
+    settings.confirmsChanges = true;
+    TableFollower follower(loop.base(), table, clock, metrics, settings, 1);
+    write("1");
+    listen(follower);
+    BOOST_TEST(table.followWait.count() == 0); // the load may have taken long
+    table.respond(TableRows { 1, {} });
+    waitForRequest();
+    BOOST_TEST(table.followWait.count() == 1000);
+    const auto before = follower.currentAsOf();
+    clock.advance(700ms);
+    table.respond(TableRows { 2, { { "", "config", "2", 2 } } });
+    waitForRequest();
+    BOOST_TEST((follower.currentAsOf() == before));
+    BOOST_TEST(table.followWait.count() == 0);
+    clock.advance(100ms);
+    table.respond(TableRows { 2, {} });
+    BOOST_TEST((follower.currentAsOf() == before + 700ms)); // when the request was sent
+}
