--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -9,9 +9,21 @@
 
 using std::chrono::milliseconds;
 
-constexpr int rowsPerPage = 500;
+constexpr std::size_t rowsPerPage = 500;
 constexpr milliseconds initialBackoff { 50 };
 constexpr milliseconds maxBackoff { 400 };
+/// The table ends a response at 1 MB, after Base64; rows that nodes write hold at most 64 KB.
+constexpr std::size_t minTruncatedBytes = 512 * 1024;
+
+/// Whether the table may have more changes than those in the response.
+bool mayBeTruncated(const TableRows& changes)
+{
+    std::size_t bytes = 0;
+    for (const auto& row : changes.rows)
+        bytes += row.value.size();
+    return changes.rows.size() >= rowsPerPage || bytes >= minTruncatedBytes;
+}
+
 /// Whether \p changes contain several versions of one row.
 bool hasSupersededRows(const TableRows& changes)
 {
@@ -87,7 +99,7 @@
 
 void TableFollower::readPart(const std::string& part, const std::string& from)
 {
-    m_table.read(m_settings.table, part, from, rowsPerPage,
+    m_table.read(m_settings.table, part, from, static_cast<int>(rowsPerPage),
         [this, part](TableResult<TableRows> rows) {
             if (!rows)
                 return onFailure(rows.error(), true);
@@ -158,7 +170,7 @@
             // A response without changes means that the table waited for the whole time.
             if (!hasChanges)
                 m_currentAsOf = sentAt + wait;
-            else if (!m_settings.confirmsChanges)
+            else if (!m_settings.confirmsChanges && !mayBeTruncated(*rows))
                 m_currentAsOf = sentAt;
             m_needsReload = m_settings.readsRowsWhenBehind && hasSupersededRows(*rows);
             m_needsConfirmation = hasChanges && m_settings.confirmsChanges;
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -144,3 +144,22 @@
     table.respond(TableRows { 2, {} });
     BOOST_TEST((follower.currentAsOf() == before + 700ms)); // when the request was sent
 }
+
+// After an outage, a response of limited size held changes up to a time long before the request was sent.
+BOOST_FIXTURE_TEST_CASE(responseThatMayBeTruncatedProvesNothing, FollowerFixture)
+{
+    TableFollower follower(loop.base(), table, clock, metrics, { "jobs" }, 1);
+    write("1");
+    listen(follower);
+    const auto before = follower.currentAsOf();
+    clock.advance(500ms);
+    const std::string longValue(32 * 1024, 'x');
+    TableRows many { 40, {} };
+    for (Version version = 2; version < 40; ++version)
+        many.rows.push_back({ "", "key" + std::to_string(version), longValue, version });
+    table.respond(many);
+    waitForRequest();
+    BOOST_TEST((follower.currentAsOf() == before));
+    table.respond(TableRows { 41, { { "", "key", "short", 41 } } });
+    BOOST_TEST((follower.currentAsOf() == before + 500ms));
+}
