Start no tasks on VMs or jobs that the node may not know as they are

It did not ask whether that response held all changes, so after an outage a cancelled job's task could be started from a view of before; and it did not ask for the table of VMs at all, so a VM that is leaving could get new tasks for as long as that table alone was out of reach. A view is fresh now if its last response is at most 2 s old and held all changes, and both views have to be.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -30,8 +30,8 @@
     MachineControl& machines;
     AdviceControl& advice;
     const JobDirectory& directory;
-    /// Returns whether the job table has responded recently enough to start tasks.
-    std::function<bool()> isDirectoryFresh;
+    /// Returns whether jobs and VMs are known well enough to start tasks.
+    std::function<bool()> areViewsFresh;
 };
 
 /// Sends commands to the VMs of one pool and records what they report.
--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -51,6 +51,8 @@
         m_settings.pauseAfterChanges = pauseAfterChanges;
     }
     bool isLoaded() const { return m_isLoaded; }
+    /// Whether the last response may not have held all changes, as the first ones after an outage.
+    bool isBehind() const { return m_isBehind; }
     /// Version up to which all changes have been passed on.
     Version version() const { return m_version; }
     /// Time of the last response.
@@ -87,6 +89,7 @@
     Version m_loadVersion = 0; ///< version of the first response of a load
     Version m_version = 0;
     bool m_isLoaded = false;
+    bool m_isBehind = false;
     bool m_needsReload = true;
     bool m_needsConfirmation = false; ///< the next request does not wait for changes
     int m_failures = 0; ///< since the last response
@@ -96,4 +99,8 @@
     TimePoint m_loadStartedAt {};
 };
 
+/// Whether the follower's rows are recent enough to act on: it has had a response within \p maxAge, and the
+/// response held all changes.
+bool isFresh(const TableFollower& follower, TimePoint now, std::chrono::milliseconds maxAge);
+
 } // namespace damask::fleet
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -18,9 +18,10 @@
 /// Pause for leases and VM registrations, which change every few hundred milliseconds. Reading several
 /// changes at once does no harm.
 constexpr milliseconds controlTablePause { 250 };
-/// A holder starts no tasks if the job table has not responded for this long. Requests for changes return
-/// within 1 s, and a cancelled job's tasks must not start 3 s after the cancellation.
-constexpr milliseconds maxDirectoryAge { 2000 };
+/// A holder starts no tasks if the table of jobs or that of VMs has not responded for this long. Requests for
+/// changes return within 1 s. A cancelled job's tasks must not start 3 s after the cancellation, and a
+/// leaving VM gets no tasks after 2 s at the least.
+constexpr milliseconds maxViewAge { 2000 };
 constexpr milliseconds tickInterval { 250 };
 /// A node without a response from the table for this long is not ready for callers.
 constexpr milliseconds maxContactAgeToServe { 2500 };
@@ -288,9 +289,12 @@
         m_controlRows.setPauseAfterChanges(holderPause);
         return beginReadyHolders();
     }
-    auto isDirectoryFresh = [this] { return m_clock.now() - m_jobRows.lastContact() < maxDirectoryAge; };
+    auto areViewsFresh = [this] {
+        const auto now = m_clock.now();
+        return isFresh(m_jobRows, now, maxViewAge) && isFresh(m_vmRows, now, maxViewAge);
+    };
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
-        *m_adapter.machines, *m_adapter.advice, m_directory, isDirectoryFresh };
+        *m_adapter.machines, *m_adapter.advice, m_directory, areViewsFresh };
     m_holders[pool] = std::make_unique<PoolHolder>(
         context, pool, lease, m_leaseTiming, m_settings.maxLease, [this] { beginReadyHolders(); },
         [this, pool] { m_endedHolders.push_back(pool); });
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -227,7 +227,7 @@
     expireLeases(m_state, now);
     planEvacuations(m_state, now);
     sendStops(now);
-    if (m_context.isDirectoryFresh()) {
+    if (m_context.areViewsFresh()) {
         sendStarts(now);
         m_advisor.requestNext();
     }
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -167,10 +167,11 @@
                 return onFailure(rows.error(), rows.error() == TableFailure::HistoryTruncated);
             onSuccess();
             const bool hasChanges = !rows->rows.empty();
+            m_isBehind = mayBeTruncated(*rows);
             // A response without changes means that the table waited for the whole time.
             if (!hasChanges)
                 m_currentAsOf = sentAt + wait;
-            else if (!m_settings.confirmsChanges && !mayBeTruncated(*rows))
+            else if (!m_settings.confirmsChanges && !m_isBehind)
                 m_currentAsOf = sentAt;
             m_needsReload = m_settings.readsRowsWhenBehind && hasSupersededRows(*rows);
             m_needsConfirmation = hasChanges && m_settings.confirmsChanges;
@@ -190,4 +191,9 @@
         m_onBatch();
 }
 
+bool isFresh(const TableFollower& follower, TimePoint now, milliseconds maxAge)
+{
+    return !follower.isBehind() && now - follower.lastContact() < maxAge;
+}
+
 } // namespace damask::fleet
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -151,8 +151,11 @@
     TableFollower follower(loop.base(), table, clock, metrics, { "jobs" }, 1);
     write("1");
     listen(follower);
+    clock.advance(300ms);
+    table.respond(TableRows { 1, {} });
+    waitForRequest(); // sent 300 ms after the load
     const auto before = follower.currentAsOf();
-    clock.advance(500ms);
+    clock.advance(1500ms);
     const std::string longValue(32 * 1024, 'x');
     TableRows many { 40, {} };
     for (Version version = 2; version < 40; ++version)
@@ -160,6 +163,11 @@
     table.respond(many);
     waitForRequest();
     BOOST_TEST((follower.currentAsOf() == before));
+    BOOST_TEST(!isFresh(follower, clock.now(), 2000ms)); // a holder starts no tasks
+    const auto sentAt = clock.now();
     table.respond(TableRows { 41, { { "", "key", "short", 41 } } });
-    BOOST_TEST((follower.currentAsOf() == before + 500ms));
+    BOOST_TEST((follower.currentAsOf() == sentAt));
+    BOOST_TEST(isFresh(follower, clock.now(), 2000ms));
+    clock.advance(2s);
+    BOOST_TEST(!isFresh(follower, clock.now(), 2000ms));
 }
