Go on with a load of a table where a request failed

With a part of the calls refused, or on a slow link, a load of many parts need never end, and the node stays without jobs or configuration. A load still reads on from the version of its first response, so rows that change meanwhile are read again as changes; if the table no longer keeps those, the load starts anew as before.

--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -70,7 +70,9 @@
     void finishLoad();
     void follow();
     void applyChanges(const TableRows& rows);
-    /// Schedules a retry with backoff, of the whole load if \p needsReload.
+    /// Makes the next request: of the load in progress, of a new one, or for changes.
+    void runNext();
+    /// Schedules a retry with backoff. If \p needsReload, it reads all rows; a load goes on where it failed.
     void onFailure(TableFailure failure, bool needsReload);
     void onSuccess();
     void scheduleNext(std::chrono::milliseconds delay);
@@ -86,6 +88,8 @@
     BatchListener m_onBatch;
     std::vector<TableRow> m_loadedRows;
     std::deque<std::string> m_partsToRead;
+    std::function<void()>
+        m_loadStep; ///< repeats the last request of the load in progress; empty if there is none
     Version m_loadVersion = 0; ///< version of the first response of a load
     Version m_version = 0;
     bool m_isLoaded = false;
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -44,7 +44,7 @@
     , m_metrics(metrics)
     , m_settings(std::move(settings))
     , m_random(seed)
-    , m_timer(base, [this] { m_needsReload ? startLoad() : follow(); })
+    , m_timer(base, [this] { runNext(); })
 {
 }
 
@@ -84,6 +84,16 @@
     scheduleNext(backoff / 2 + milliseconds(m_random() % static_cast<std::uint64_t>(backoff.count())));
 }
 
+void TableFollower::runNext()
+{
+    if (!m_needsReload)
+        return follow();
+    if (!m_loadStep)
+        return startLoad();
+    const auto step = m_loadStep; // the call replaces m_loadStep
+    step();
+}
+
 void TableFollower::startLoad()
 {
     m_loadedRows.clear();
@@ -99,6 +109,7 @@
 
 void TableFollower::readPart(const std::string& part, const std::string& from)
 {
+    m_loadStep = [this, part, from] { readPart(part, from); };
     m_table.read(m_settings.table, part, from, static_cast<int>(rowsPerPage),
         [this, part](TableResult<TableRows> rows) {
             if (!rows)
@@ -128,6 +139,7 @@
 
 void TableFollower::listParts(const std::string& after)
 {
+    m_loadStep = [this, after] { listParts(after); };
     constexpr std::size_t namesPerPage = 1000;
     m_table.parts(m_settings.table, after, [this](TableResult<std::vector<std::string>> names) {
         if (!names)
@@ -146,6 +158,7 @@
 void TableFollower::finishLoad()
 {
     m_version = std::max(m_version, m_loadVersion);
+    m_loadStep = nullptr;
     m_needsReload = false;
     m_isLoaded = true;
     m_currentAsOf = m_loadStartedAt;
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -24,6 +24,7 @@
         TableCallback<TableRows> callback) override
     {
         ++reads;
+        m_rows.readsToFail = failsEverySecondRead && reads % 2 == 0 ? 1 : 0;
         m_rows.read(table, part, from, limit, std::move(callback));
     }
     void parts(const std::string& table, const std::string& after,
@@ -41,6 +42,7 @@
     void respond(TableResult<TableRows> result) { std::exchange(pending, {})(std::move(result)); }
 
     int reads = 0;
+    bool failsEverySecondRead = false;
     Version followedFrom = 0;
     std::chrono::milliseconds followWait { 0 };
     TableCallback<TableRows> pending; ///< of the open request for changes
@@ -171,3 +173,18 @@
     clock.advance(2s);
     BOOST_TEST(!isFresh(follower, clock.now(), 2000ms));
 }
+
+// A node that started while the table refused a part of its calls began its load again with the first row
+// each time, and never ended it.
+BOOST_FIXTURE_TEST_CASE(loadGoesOnWhereARequestFailed, FollowerFixture)
+{
+    constexpr int parts = 12;
+    for (int i = 0; i < parts; ++i)
+        rows.commit({ "part" + std::to_string(i), {}, { { "jobs", "key", std::to_string(i) } } }, 1s,
+            [](const auto&) {});
+    table.failsEverySecondRead = true;
+    TableFollower follower(loop.base(), table, clock, metrics, { "jobs", true }, 1);
+    listen(follower);
+    BOOST_TEST(applied.size() == static_cast<std::size_t>(parts));
+    BOOST_TEST(table.reads <= 2 * (parts + 1));
+}
