Soak: configurations change, links get narrow, and every answer shows its configuration

Now each version of the configuration has a queue of its own, every node is asked for counts in it, and a checker reports an answer by a version that was replaced longer ago than the bound, a 404 for a queue that has been there for longer, a node that goes back, and one that never gets the newest. Links between nodes and table carry 30 to 240 KB/s for a while. New faults draw from a generator of their own, so the others of a seed stay.

--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -2,6 +2,7 @@
 /// Injects random faults into real processes of the fleet role, with an in-memory platform. Checks throughout
 /// what callers and VMs see, and that all work finishes once the faults have ended.
 #include "checker.h"
+#include "config_checker.h"
 
 #include "../harness/process.h"
 
@@ -43,6 +44,17 @@
 constexpr std::uint16_t callerPort = 7001;
 constexpr std::uint16_t readyPort = 7002;
 
+/// Within this time a configuration must be in force; equals config_apply_ms of the settings.
+constexpr milliseconds configApplyTime { 3000 };
+/// Time between two counts at one node, which show its configuration.
+constexpr milliseconds probeInterval { 100 };
+constexpr int minConfigIntervalMs = 300;
+constexpr int configIntervalSpreadMs = 4000;
+/// How many versions back probes go. A node that is behind shows it in the queue of its own version.
+constexpr int probedVersions = 8;
+/// A configuration with so many queues more takes about 0.25 MB on the wire.
+constexpr int manyQueues = 1000;
+
 /// A process of the fleet role and the relay between it and the table.
 struct Node {
     NodeAddresses addresses;
@@ -50,6 +62,7 @@
     std::string log;
     std::unique_ptr<harness::Process> process;
     std::size_t relay = 0;
+    int boot = 0; ///< counts the starts of the process
     bool isDown = false; ///< killed, stopping or suspended; gets no further fault
 };
 
@@ -66,6 +79,12 @@
     void submit(const std::string& id, int attempt, bool mayBeStored);
     void cancel(const std::string& id);
     void pollJobStates();
+    /// Writes the next configuration.
+    void configure();
+    /// Asks each node for counts in the queues of the newest and of an earlier configuration.
+    void probeConfigs();
+    /// Limits the bandwidth between a node and the table for some seconds.
+    void narrowLink();
     void injectFault();
     void injectNodeFault(Node& node, int kind);
     void injectTableFault(int kind);
@@ -73,6 +92,11 @@
     void clearFaults();
     bool isAllWorkFinished();
     void schedule(milliseconds delay, std::function<void()> action);
+    /// From a generator of its own, so that the other faults of a seed stay as they were.
+    int randomConfigBelow(int limit)
+    {
+        return static_cast<int>(m_configRandom() % static_cast<std::uint64_t>(limit));
+    }
     int randomBelow(int limit) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(limit)); }
     Node& randomNode()
     {
@@ -82,10 +106,13 @@
 
     std::uint64_t m_seed;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_configRandom;
     std::string m_folder;
     std::chrono::steady_clock::time_point m_startTime = std::chrono::steady_clock::now();
     Loop m_loop;
     Checker m_checker;
+    ConfigChecker m_configChecker { configApplyTime,
+        [this](const std::string& what) { m_checker.reportViolation(what); } };
     Platform m_platform;
     HttpClient m_client;
     std::vector<QueueSpec> m_queues { { "quotes", "pricing", 3 }, { "renders", "designer", 3 } };
@@ -101,12 +128,13 @@
 Soak::Soak(std::uint64_t seed, int nodes, std::string folder)
     : m_seed(seed)
     , m_random(seed)
+    , m_configRandom(seed + 2)
     , m_folder(std::move(folder))
     , m_platform(m_loop.base(), m_checker, seed + 1)
     , m_client(m_loop.base(), {})
     , m_relays({ harness::binary("standin_relay"), std::to_string(nodes) })
 {
-    m_platform.configure(m_queues, { "pricing", "designer" });
+    configure();
     for (const char* pool : { "pricing", "designer" }) {
         for (int i = 0; i < machinesPerPool; ++i)
             m_platform.addMachine("m-" + std::string(pool) + std::to_string(i), pool, 2000);
@@ -143,6 +171,7 @@
 void Soak::startNode(Node& node)
 {
     node.isDown = false;
+    ++node.boot;
     node.process = std::make_unique<harness::Process>(std::vector<std::string> { harness::binary("damaskd"),
                                                           "fleet", "--deployment_settings=" + node.settings },
         node.log);
@@ -253,6 +282,46 @@
     }
 }
 
+void Soak::configure()
+{
+    auto queues = m_queues;
+    queues.push_back({ ConfigChecker::queueOf(m_configChecker.newestVersion() + 1), "pricing" });
+    const bool isLarge = randomConfigBelow(3) == 0;
+    for (int i = 0; isLarge && i < manyQueues; ++i)
+        queues.push_back({ "other" + std::to_string(i), "pricing" });
+    m_platform.configure(queues, { "pricing", "designer" });
+    m_configChecker.onAcknowledged(std::chrono::steady_clock::now());
+}
+
+void Soak::probeConfigs()
+{
+    const int newest = m_configChecker.newestVersion();
+    for (const auto& node : m_nodes) {
+        const int earlier = newest - 1 - randomConfigBelow(probedVersions);
+        for (const int version : { std::max(1, earlier), newest }) {
+            const auto probe = m_configChecker.startProbe(
+                node.addresses.node, node.boot, version, std::chrono::steady_clock::now());
+            const auto request = stateRequest({ ConfigChecker::queueOf(version), "pricing" }, "");
+            m_client.send(
+                node.addresses.callers, request, callTimeout, [this, &node, probe](const HttpResult& result) {
+                    if (result && probe.boot == node.boot)
+                        m_configChecker.onAnswer(probe, result->status, std::chrono::steady_clock::now());
+                });
+        }
+    }
+}
+
+void Soak::narrowLink()
+{
+    auto& node = m_nodes[static_cast<std::size_t>(randomConfigBelow(static_cast<int>(m_nodes.size())))];
+    const int bytesPerSecond = 30'000 << randomConfigBelow(4);
+    const milliseconds time(1000 + randomConfigBelow(6000));
+    report("link of " + node.addresses.node + " carries " + std::to_string(bytesPerSecond) + " B/s for "
+        + std::to_string(time.count()));
+    setRelay(node, { { "bytesPerSecond", bytesPerSecond } });
+    schedule(time, [this, &node] { setRelay(node, nlohmann::json::object()); });
+}
+
 void Soak::injectFault()
 {
     ++m_faultCount;
@@ -400,7 +469,9 @@
         if (!m_platform.isWaveCompleted(wave))
             return false;
     }
-    return m_checker.activeRunCount() == 0
+    const bool hasEachNewestConfig = std::all_of(m_nodes.begin(), m_nodes.end(),
+        [this](const Node& node) { return m_configChecker.hasNewest(node.addresses.node, node.boot); });
+    return hasEachNewestConfig && m_checker.activeRunCount() == 0
         && std::all_of(m_checker.jobs.begin(), m_checker.jobs.end(),
             [this](const auto& entry) { return m_checker.isFinished(entry.second); });
 }
@@ -412,11 +483,21 @@
         injectFault();
         faults.startOnce(minFaultInterval + milliseconds(randomBelow(faultIntervalSpreadMs)));
     });
+    Timer configs(m_loop.base(), [this, &configs] {
+        configure();
+        if (randomConfigBelow(2) == 0)
+            narrowLink();
+        configs.startOnce(milliseconds(minConfigIntervalMs + randomConfigBelow(configIntervalSpreadMs)));
+    });
+    Timer probes(m_loop.base(), [this] { probeConfigs(); });
     traffic.startPeriodic(jobInterval);
+    probes.startPeriodic(probeInterval);
+    configs.startOnce(milliseconds(1000));
     faults.startOnce(milliseconds(2000));
     m_loop.runUntil([] { return false; }, length);
     traffic.stop();
     faults.stop();
+    configs.stop();
     clearFaults();
     Timer states(m_loop.base(), [this] { pollJobStates(); });
     states.startPeriodic(milliseconds(400));
@@ -426,12 +507,17 @@
                 m_checker.reportViolation(
                     id + " has no final state after " + std::to_string(job.startCount) + " task starts");
         }
+        for (const auto& node : m_nodes) {
+            if (!m_configChecker.hasNewest(node.addresses.node, node.boot))
+                m_checker.reportViolation(
+                    node.addresses.node + " does not answer by the newest configuration");
+        }
         m_checker.reportViolation(
             "not all work has finished; active runs: " + std::to_string(m_checker.activeRunCount()));
     }
     report(std::to_string(m_jobCount) + " jobs, " + std::to_string(m_checker.runCount) + " runs, "
-        + std::to_string(m_faultCount) + " faults, " + std::to_string(m_checker.violations.size())
-        + " violations");
+        + std::to_string(m_configChecker.newestVersion()) + " configurations, " + std::to_string(m_faultCount)
+        + " faults, " + std::to_string(m_checker.violations.size()) + " violations");
     return m_checker.violations.empty();
 }
 
--- a/testsuite/standins/standin_relay.cpp
+++ b/testsuite/standins/standin_relay.cpp
@@ -71,6 +71,8 @@
     std::unique_ptr<Timer> delayTimer; ///< forwards delayed bytes when it fires
     ~ConnectionPair()
     {
+        // libevent removes a freed connection from its group only later, when the group may be gone.
+        bufferevent_remove_from_rate_limit_group(upstream);
         bufferevent_free(downstream);
         bufferevent_free(upstream);
     }
