Call a machine empty only if none of its VMs has runs

What callers saw: a long-running task ended by a machine's move while as many others of its step were away as may be (AVAIL). Cause: a machine that comes back from maintenance has a new VM, and for some seconds the registration of the earlier one is still there. The holder's word that the machine is empty was given as soon as either had reported and had no runs. Evidence: at 18.6 s the holder tries a start on the earlier VM, at 22.7 s the coordinator orders the machine of the later one, on which a task had served since 18.5 s. machineIsNotEmptyWhileAnotherVmOfItHasRuns failed before.

Now the runs of all VMs of a machine count. A VM that has not reported does not hold the machine back if another VM of it has: the later VM's runs are this holder's own.

--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -112,6 +112,18 @@
     return static_cast<std::int64_t>(std::min(forecast, rate * maxForecastGrowth));
 }
 
+/// Machines that run tasks. A machine that has come back has two VMs here until the registration of the
+/// earlier one is removed.
+std::set<std::string_view> machinesWithRuns(const PoolState& state)
+{
+    std::set<std::string_view> out;
+    for (const auto& [name, vm] : state.vms) {
+        if (!vm.runs.empty() || !vm.orphanRuns.empty())
+            out.insert(vm.entry.machine);
+    }
+    return out;
+}
+
 } // namespace
 
 void planEvacuations(PoolState& state, TimePoint now)
@@ -142,6 +154,7 @@
     PoolLoad load;
     load.arrivingCpu = arrivingCpu(state, now);
     const auto rooms = roomBesideLongRunning(state);
+    const auto withRuns = machinesWithRuns(state);
     for (const auto& [name, vm] : state.vms) {
         load.usedCpu += vm.used.cpu;
         if (vm.isRegistered && vm.hasReported && !vm.isUnresponsive && !vm.isEvacuating
@@ -161,7 +174,7 @@
             load.runs[vm.entry.machine] = std::max(1, static_cast<int>(vm.runs.size()));
         if (!vm.hasReported)
             load.serving.insert(vm.entry.machine);
-        if (vm.isEvacuating && vm.hasReported && vm.runs.empty() && vm.orphanRuns.empty())
+        if (vm.isEvacuating && vm.hasReported && !withRuns.contains(vm.entry.machine))
             load.empty.emplace(vm.entry.machine, vm.evacuationTask);
     }
     for (const auto& [id, job] : state.jobs) {
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -342,6 +342,28 @@
     BOOST_TEST(planStops(state, clock.now()).size() == 1u);
 }
 
+// A machine was ordered to another pool while a long-running task served on it: the VM of before its
+// maintenance was still registered and had no runs.
+BOOST_AUTO_TEST_CASE(machineIsNotEmptyWhileAnotherVmOfItHasRuns)
+{
+    addVm("before");
+    addVm("now");
+    state.vms.at("now").entry.machine = "m-before";
+    auto serving = makeStep(1);
+    serving.longRunning = true;
+    submit("j1", { serving });
+    state.vms.at("before").entry.draining = true; // the task starts on the other VM
+    BOOST_REQUIRE(startAndAccept().size() == 1U);
+    BOOST_REQUIRE(state.vms.at("now").runs.size() == 1U);
+    for (auto& [id, vm] : state.vms) {
+        vm.isEvacuating = true;
+        vm.evacuationTask = "7.1";
+    }
+    BOOST_TEST(computeLoad(state, clock.now()).empty.empty());
+    state.vms.at("now").runs.clear();
+    BOOST_TEST(computeLoad(state, clock.now()).empty.contains("m-before"));
+}
+
 BOOST_AUTO_TEST_CASE(jobOfARemovedQueueKeepsItsMaxAttempts)
 {
     addVm("v1");
