--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -19,8 +19,8 @@
 /// changes at once does no harm.
 constexpr milliseconds controlTablePause { 250 };
 /// A holder starts no tasks if the table of jobs or that of VMs has not responded for this long. Requests for
-/// changes return within 1 s. A cancelled job's tasks must not start 3 s after the cancellation, and a
-/// leaving VM gets no tasks after 2 s at the least.
+/// changes return within 1 s. A cancelled job's tasks must not start 3 s after the cancellation, and a VM
+/// must get no new tasks 2 s after it has reported that it leaves.
 constexpr milliseconds maxViewAge { 2000 };
 constexpr milliseconds tickInterval { 250 };
 /// A node without a response from the table for this long is not ready for callers.
@@ -39,7 +39,8 @@
     FollowSettings out;
     out.table = codec.operatorTable();
     out.readsRowsWhenBehind = true;
-    // The age of the configuration reaches this wait and two response times between two responses.
+    // Just before a response arrives, the configuration is as old as one wait and two response times. A
+    // quarter of the bound leaves room for the responses of a slow table.
     constexpr int waitsPerApplyTime = 4;
     out.maxWait = std::min(out.maxWait, settings.configApplyTime / waitsPerApplyTime);
     out.confirmsChanges = true;
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t rowsPerPage = 500;
 constexpr milliseconds initialBackoff { 50 };
 constexpr milliseconds maxBackoff { 400 };
-/// The table ends a response at 1 MB, after Base64; rows that nodes write hold at most 64 KB.
+/// The table ends a response at 1 MB, after Base64. Rows that nodes write hold at most 64 KB, so a response
+/// with less than this in values was not cut short.
 constexpr std::size_t minTruncatedBytes = 512 * 1024;
 
 /// Whether the table may have more changes than those in the response.
