--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -22,7 +22,7 @@
     bool isPartitioned = false; ///< false: all rows are in the part with the empty name
     std::chrono::milliseconds pauseAfterChanges { 0 }; ///< so that the next request returns several changes
     /// After a failed request, or a response with several versions of one row, read the rows instead of the
-    /// changes since. For tables whose rows are few and large.
+    /// changes since. For tables whose rows are few and large: the changes hold every version of a row.
     bool readsRowsWhenBehind = false;
     /// Longest wait of one request for a change. It is short so that the follower detects a dead connection
     /// well within the time in which a new configuration must be in force.
@@ -88,8 +88,8 @@
     BatchListener m_onBatch;
     std::vector<TableRow> m_loadedRows;
     std::deque<std::string> m_partsToRead;
-    std::function<void()>
-        m_loadStep; ///< repeats the last request of the load in progress; empty if there is none
+    /// Repeats the last request of the load in progress; empty if there is none.
+    std::function<void()> m_loadStep;
     Version m_loadVersion = 0; ///< version of the first response of a load
     Version m_version = 0;
     bool m_isLoaded = false;
--- a/testsuite/fleet_config/slow_link_fixture.h
+++ b/testsuite/fleet_config/slow_link_fixture.h
@@ -1,10 +1,13 @@
 /// \file
-/// One real process of the fleet role whose link to the table is a relay of limited bandwidth.
+/// One real process of the fleet role whose link to the table is a relay of limited bandwidth. The operators'
+/// configuration comes from the stand-in; the tests see which one the node applies from its answers to
+/// counts.
 #pragma once
 
 #include "../../platform/standin/platform.h"
 #include "../harness/process.h"
 
+#include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <unistd.h>
 
