Limit a holder's outstanding commands, and claim no machines for work that can't be in time

Cause: at a turn's peak a pool's holder sent every start at once. Its own link (2 Mbit/s on the small twin) was full for longer than a command's timeout, so two of three starts had unknown outcomes; each was stopped each 0.4 s until confirmed, which filled the link further. Meanwhile the pool claimed 81 of 130 machines for a backlog that it could not start. Ruled out: slow VMs (they answered others), the table (its calls timed out on the same link only), the number of VMs alone. Change: a delay-based window of outstanding starts and stops (command_window.h), which also spaces reports; no second stop while one is in flight; runs of a silent VM that is still registered are kept 3 s past its lease, since they may have ended before it; a pool whose starts are limited claims no machines for its backlog; machines go to overdue work, waiting or running, only after other work; a search for room is not repeated for needs that failed in the same pass.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -18,14 +18,19 @@
 
 /// Load of a pool, as its holder reports it to the coordinator.
 struct PoolLoad {
-    std::int64_t waitingCpu = 0; ///< needed by ready tasks that no VM runs, without long-running ones
+    /// Needed by ready tasks that no VM runs, without long-running and overdue ones.
+    std::int64_t waitingCpu = 0;
     std::int64_t waitingWork = 0; ///< estimated work of these tasks, core-milliseconds
+    std::int64_t overdueCpu = 0; ///< as waitingCpu, of occurrences that can only end overdue, see Timeliness
+    std::int64_t overdueWork = 0; ///< estimated work of these tasks, core-milliseconds
+    std::int64_t overdueUsedCpu = 0; ///< part of usedCpu that is reserved by such occurrences
     std::int64_t arrivingCpu
         = 0; ///< needed to finish new jobs at the rate at which they are forecast to arrive
     std::int64_t usedCpu = 0; ///< reserved on all VMs
     std::int64_t servingCpu = 0; ///< part of usedCpu that is reserved by long-running tasks
     std::int64_t waitingServingCpu = 0; ///< needed by ready long-running tasks that no VM runs
-    std::int64_t unfitCpu = 0; ///< part of waitingCpu that fits on no VM beside its long-running tasks
+    /// Part of waitingCpu and overdueCpu that fits on no VM beside its long-running tasks.
+    std::int64_t unfitCpu = 0;
     int minMachines = 0; ///< fewest machines that satisfy maxPerVm of every long-running step
     std::int64_t capacityCpu = 0; ///< of the VMs that accept work
     int workingMachines = 0; ///< number of these VMs
@@ -117,7 +122,8 @@
 /// New tasks for machines whose maintenance begins now.
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// New moves of machines to pools that need them: standby machines first, then the least loaded machines of
-/// pools with a surplus. Machines with long-running tasks are not moved.
+/// pools with a surplus. Machines with long-running tasks are not moved. Pools get machines for overdue work
+/// only from what remains once every pool has what its other work needs.
 std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// Whether the machine is evacuated, so that the coordinator may send the command for the task.
 bool maySendCommand(const FleetState& state, const MachineTask& task);
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <damaskworks/adapter.h>
+#include <damaskworks/command_window.h>
 #include <damaskworks/fleet_plan.h>
 #include <damaskworks/job_directory.h>
 #include <damaskworks/job_progress.h>
@@ -92,6 +93,10 @@
     void onReport(const std::string& name, tl::expected<VmReport, CommandOutcome> report, TimePoint sentAt);
     void onSpecRead(const std::string& job, std::string spec);
     void onStartOutcome(const StartAction& start, CommandOutcome outcome, TimePoint sentAt);
+    /// Updates PoolState::areStartsLimited. \p isLimited: the window left tasks waiting.
+    void recordStartLimit(bool isLimited, TimePoint now);
+    /// Starts that are planned and not yet answered.
+    int outstandingStarts() const;
     void sendThrottleCommands(const std::string& name, TimePoint now);
     void handleCommandOutcome(const std::string& vm, CommandOutcome outcome);
     VmTarget makeTarget(const VmState& vm) const;
@@ -121,12 +126,17 @@
     bool m_isReconcileScheduled = false;
     std::map<std::string, HeartbeatState> m_heartbeatStates;
     WaitingStarts m_waitingStarts;
+    CommandWindow m_commandWindow;
+    TimePoint m_startsUnlimitedAt {}; ///< when the window last left no task waiting
+    int m_startsInFlight = 0;
+    int m_stopsInFlight = 0;
     std::set<std::string> m_jobsInTransaction; ///< jobs that the transaction in flight writes
     std::set<std::string> m_removedJobs; ///< removed jobs whose end the directory does not show yet
     std::map<std::string, std::string> m_evacuations; ///< task id by machine
     PoolLoad m_publishedLoad; ///< as last written
     std::optional<PoolLoad> m_pendingLoad; ///< not yet written
     TimePoint m_loadPublishedAt {};
+    TimePoint m_loadComputedAt {};
     TimePoint m_loadLoggedAt {};
     bool m_begun = false;
     bool m_ended = false;
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -10,6 +10,7 @@
 #include <damaskworks/job.h>
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,7 +35,7 @@
     TimePoint createdAt {}; ///< when this holder planned or adopted the run
     TimePoint confirmedAt {}; ///< when the VM first confirmed the run; zero: not yet
     TimePoint stopConfirmedAt {}; ///< when the VM confirmed a stop; zero: not yet
-    TimePoint nextStopAt {}; ///< when an unconfirmed stop command is sent again
+    TimePoint nextStopAt {}; ///< when an unconfirmed stop command is sent again; max(): one is in flight
     int percent = 0; ///< reported progress, see RunReport
     TimePoint progressAt {}; ///< last change of percent
     std::int64_t reportedLoad = 0; ///< see RunReport::load
@@ -107,7 +108,8 @@
     milliseconds leaseUntil { 0 }; ///< latest lease end sent in any command, on the VM's clock
     Resources used; ///< reserved by all runs that are not known to have ended
     std::set<TaskId> runs;
-    /// Runs that this holder neither started nor adopted, with the time of the next stop command.
+    /// Runs that this holder neither started nor adopted, with the time of the next stop command, see
+    /// RunState::nextStopAt.
     std::map<std::pair<TaskId, std::uint32_t>, TimePoint> orphanRuns;
     std::uint64_t applied = 0; ///< ends up to this number are applied to the state
     std::uint64_t acknowledged = 0; ///< ends up to this number are durable
@@ -128,6 +130,9 @@
     /// Slowest rate of a VM's clock. It may run slow by 2%; the rest covers the rounding to milliseconds.
     double minVmClockRate = 0.975;
     milliseconds stopRetryDelay { 400 }; ///< twice the time that a VM may take to stop a task
+    /// How long the runs of a silent VM that is still registered are kept after its lease has expired. It is
+    /// alive, so a run may have ended before the expiry, which only its report can show.
+    milliseconds silentVmGrace { 3000 };
     int failuresBeforeQuarantine = 4; ///< consecutive failures, of at least two jobs
     milliseconds firstQuarantine { 2000 }; ///< doubles with each further quarantine
     milliseconds maxQuarantine { 16000 };
@@ -157,6 +162,8 @@
     std::map<std::string, JobEntry, std::less<>> jobs; ///< that have not ended, by id
     std::map<std::string, VmState, std::less<>> vms; ///< by id
     std::deque<Arrival> arrivals; ///< within the last two arrival windows, oldest first
+    /// The rate at which the holder can send starts has limited planStarts() for some time.
+    bool areStartsLimited = false;
     std::vector<StepId> stepsNeedingTickets; ///< steps for which the last planStarts() found no usable VM
     /// After a takeover: until then tasks of recovered jobs may run on VMs that have not reported.
     TimePoint recoveryDeadline {};
@@ -205,8 +212,10 @@
     CommandOutcome outcome, TimePoint now);
 /// Releases the runs of unresponsive VMs whose lease has expired, and removes unlisted VMs without runs.
 void expireLeases(PoolState& state, TimePoint now);
-/// Stop commands that are due: for runs of ended jobs, orphan runs, stalled tasks and unconfirmed starts.
-std::vector<StopAction> planStops(PoolState& state, TimePoint now);
+/// At most \p maxStops stop commands that are due: for runs of ended jobs, orphan runs, stalled tasks and
+/// unconfirmed starts. None is planned for a run again before applyStopOutcome() has the outcome of the last.
+std::vector<StopAction> planStops(
+    PoolState& state, TimePoint now, int maxStops = std::numeric_limits<int>::max());
 /// Marks a run to be stopped by the next planStops().
 void markStopping(RunState& run, TimePoint now);
 
--- a/src/include/damaskworks/start_gate.h
+++ b/src/include/damaskworks/start_gate.h
@@ -22,4 +22,7 @@
 std::vector<StartAction> takeReadyStarts(
     PoolState& state, WaitingStarts& waiting, std::vector<StartAction> planned, TimePoint now);
 
+/// Number of starts that are held back.
+int countWaiting(const WaitingStarts& waiting);
+
 } // namespace damask::fleet
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -12,6 +12,8 @@
 
 /// Longest time between calls of reconcile() while there are jobs or evacuations, whose timeouts it checks.
 constexpr milliseconds reconcileInterval { 100 };
+/// Shortest time between two sums of the load, which visit every run of the pool.
+constexpr milliseconds loadCheckInterval { 30 };
 /// Shortest time between two writes of the pool's load.
 constexpr milliseconds loadInterval { 150 };
 constexpr milliseconds loadLogInterval { 1000 };
@@ -21,6 +23,18 @@
 /// the drift of the VMs' clocks.
 constexpr milliseconds takeoverMargin { 300 };
 
+bool hasRuns(const JobEntry& job)
+{
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            if (std::any_of(step.tasks.begin(), step.tasks.end(),
+                    [](const TaskState& task) { return task.run.has_value(); }))
+                return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 PoolHolder::PoolHolder(HolderContext context, std::string pool, AcquiredLease lease, LeaseTiming leaseTiming,
@@ -66,6 +80,7 @@
 {
     m_begun = true;
     const auto now = m_context.clock.now();
+    m_startsUnlimitedAt = now;
     m_state.limits.vmLease = std::min(m_state.limits.vmLease, m_maxVmLease);
     if (m_state.term > 0) {
         const auto longestLease = std::chrono::duration<double, std::milli>(m_state.limits.vmLease)
@@ -251,7 +266,11 @@
 {
     while (!m_state.arrivals.empty() && now - m_state.arrivals.front().at > m_state.limits.arrivalWindow * 2)
         m_state.arrivals.pop_front();
-    auto load = computeLoad(m_state, now);
+    if (now - m_loadComputedAt < loadCheckInterval)
+        return;
+    m_loadComputedAt = now;
+    const auto wallNow = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
+    auto load = computeLoad(m_state, now, wallNow);
     if (load == m_publishedLoad)
         return;
     const bool urgent = load.empty != m_publishedLoad.empty;
@@ -275,7 +294,12 @@
             { "used", std::to_string(m_pendingLoad->usedCpu) },
             { "serving", std::to_string(m_pendingLoad->servingCpu) },
             { "waiting", std::to_string(m_pendingLoad->waitingCpu) },
-            { "waiting_work", std::to_string(m_pendingLoad->waitingWork) } });
+            { "waiting_work", std::to_string(m_pendingLoad->waitingWork) },
+            { "overdue", std::to_string(m_pendingLoad->overdueCpu) },
+            { "window", std::to_string(static_cast<int>(m_commandWindow.size)) },
+            { "outstanding", std::to_string(outstandingStarts()) },
+            { "command_ms", std::to_string(static_cast<int>(m_commandWindow.responseTime.count())) },
+            { "starts_limited", m_state.areStartsLimited ? "yes" : "no" } });
 }
 
 LedgerBatch PoolHolder::collectBatch()
@@ -371,14 +395,9 @@
 
 void PoolHolder::removeEndedJobs()
 {
-    std::set<std::string> running;
-    for (const auto& [name, vm] : m_state.vms) {
-        for (const auto& run : vm.runs)
-            running.insert(run.job);
-    }
     std::erase_if(m_state.jobs, [&](const auto& entry) {
         const bool isRemovable = isFinal(entry.second.state) && !entry.second.dirty
-            && !running.contains(entry.first) && !m_jobsInTransaction.contains(entry.first);
+            && !m_jobsInTransaction.contains(entry.first) && !hasRuns(entry.second);
         if (isRemovable)
             m_removedJobs.insert(entry.first);
         return isRemovable;
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -12,6 +12,8 @@
 /// Longest delay of a heartbeat, and so of the VM's lease renewal, while ends of runs become durable. A
 /// VM's lease lasts several times as long.
 constexpr milliseconds maxAckDelay { 300 };
+/// Time after which a limit of the starts counts as lasting. At the beginning of a peak the window still grows.
+constexpr milliseconds startLimitDelay { 500 };
 
 } // namespace
 
@@ -40,14 +42,19 @@
 
 void PoolHolder::sendStops(TimePoint now)
 {
-    for (const auto& stop : planStops(m_state, now)) {
+    const auto maxStops = freeCommands(m_commandWindow, m_stopsInFlight);
+    for (const auto& stop : planStops(m_state, now, maxStops)) {
         const auto& vm = m_state.vms.find(stop.vm)->second;
         logEvent(LogLevel::Info, "task_stop",
             { { "task", toString(stop.task) }, { "run", std::to_string(stop.run) }, { "vm", stop.vm } });
+        ++m_stopsInFlight;
         m_context.endpoints.stop(
-            makeTarget(vm), stop.task, stop.run, [this, stop, alive = m_alive](CommandOutcome outcome) {
+            makeTarget(vm), stop.task, stop.run, [this, stop, now, alive = m_alive](CommandOutcome outcome) {
                 if (!*alive || m_ended)
                     return;
+                const auto elapsed = m_context.clock.now() - now;
+                recordCommandEnd(m_commandWindow, elapsed, m_stopsInFlight, m_context.clock.now());
+                --m_stopsInFlight;
                 handleCommandOutcome(stop.vm, outcome);
                 applyStopOutcome(m_state, stop.vm, stop.task, stop.run, outcome, m_context.clock.now());
                 scheduleReconcile(reconcileDelay);
@@ -58,9 +65,12 @@
 void PoolHolder::sendStarts(TimePoint now)
 {
     const auto wallNow = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
-    for (const auto& start :
-        takeReadyStarts(m_state, m_waitingStarts, planStarts(m_state, now, wallNow), now)) {
+    const auto maxStarts = freeCommands(m_commandWindow, outstandingStarts());
+    auto planned = planStarts(m_state, now, wallNow, maxStarts);
+    recordStartLimit(static_cast<int>(planned.size()) >= maxStarts, now);
+    for (const auto& start : takeReadyStarts(m_state, m_waitingStarts, std::move(planned), now)) {
         const auto& vm = m_state.vms.find(start.vm)->second;
+        ++m_startsInFlight;
         m_context.metrics.count("task_starts_total{pool=\"" + m_state.pool + "\"}");
         m_context.endpoints.start(
             makeTarget(vm), start.command, [this, start, now, alive = m_alive](CommandOutcome outcome) {
@@ -70,9 +80,20 @@
     }
 }
 
+void PoolHolder::recordStartLimit(bool isLimited, TimePoint now)
+{
+    if (!isLimited)
+        m_startsUnlimitedAt = now;
+    m_state.areStartsLimited = now - m_startsUnlimitedAt >= startLimitDelay;
+}
+
+int PoolHolder::outstandingStarts() const { return m_startsInFlight + countWaiting(m_waitingStarts); }
+
 void PoolHolder::onStartOutcome(const StartAction& start, CommandOutcome outcome, TimePoint sentAt)
 {
     const auto now = m_context.clock.now();
+    recordCommandEnd(m_commandWindow, now - sentAt, outstandingStarts(), now);
+    --m_startsInFlight;
     m_context.metrics.count(
         "task_start_outcomes_total{outcome=\"" + std::string(nameOf(commandOutcomeNames, outcome)) + "\"}");
     m_context.metrics.observe("task_start_seconds", now - sentAt);
@@ -82,7 +103,8 @@
             { "outcome", std::string(nameOf(commandOutcomeNames, outcome)) } });
     handleCommandOutcome(start.vm, outcome);
     applyStartOutcome(m_state, start.vm, start.command.task, start.command.run, outcome, now);
-    if (outcome != CommandOutcome::Accepted)
+    const bool mayPlanMore = freeCommands(m_commandWindow, outstandingStarts()) > 0;
+    if (outcome != CommandOutcome::Accepted || mayPlanMore)
         scheduleReconcile(reconcileDelay);
 }
 
@@ -171,8 +193,9 @@
         m_ledger.markDirty();
     // The VM returns ends at once until they are acknowledged. While the ledger can't make them
     // durable, a pause avoids a busy loop.
+    const bool onlyRepeatedEnds = vm.applied == before && !report->ended.empty();
     heartbeatState.nextHeartbeatAt
-        = vm.applied == before && !report->ended.empty() ? now + heartbeatRetryDelay : now;
+        = now + (onlyRepeatedEnds ? heartbeatRetryDelay : reportPause(m_commandWindow));
     scheduleReconcile(reconcileDelay);
 }
 
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -10,7 +10,8 @@
 struct PoolDemand {
     std::string name;
     int machineCount = 0; ///< machines in the pool or moving to it
-    int requiredMachines = 0;
+    int requiredMachines = 0; ///< without overdue work
+    int machinesForOverdueWork = 0; ///< further machines
     std::vector<const Machine*> removable; ///< machines that may be moved away, least loaded first
 };
 
@@ -20,15 +21,20 @@
     return found != state.config.pools.end() && found->second.standby;
 }
 
+/// CPU that finishes a backlog within backlogDrainTime, so that many short tasks don't claim a machine each.
+double backlogCpu(std::int64_t cpu, std::int64_t work, const FleetLimits& limits)
+{
+    const double drainCpu
+        = static_cast<double>(work) * 1000 / static_cast<double>(limits.backlogDrainTime.count());
+    return std::min(static_cast<double>(cpu), drainCpu);
+}
+
 /// CPU that the pool should have: for long-running tasks, for running or arriving work with headroom, and for
-/// the backlog. The backlog counts only as much as finishes it within backlogDrainTime, so that many short
-/// tasks don't claim a machine each.
+/// the backlog.
 double targetCpu(const PoolLoad& load, const FleetLimits& limits)
 {
-    const double batchCpu = static_cast<double>(load.usedCpu - load.servingCpu);
-    const double drainCpu
-        = static_cast<double>(load.waitingWork) * 1000 / static_cast<double>(limits.backlogDrainTime.count());
-    const double backlog = std::min(static_cast<double>(load.waitingCpu), drainCpu);
+    const double batchCpu = static_cast<double>(load.usedCpu - load.servingCpu - load.overdueUsedCpu);
+    const double backlog = backlogCpu(load.waitingCpu, load.waitingWork, limits);
     const double arriving = static_cast<double>(load.arrivingCpu);
     const double serving = static_cast<double>(load.servingCpu + load.waitingServingCpu);
     return serving + std::max(batchCpu, arriving) * limits.headroomFactor + backlog;
@@ -108,6 +114,9 @@
     demand.requiredMachines
         = std::max({ machinesForCpu, mustStayCount + emptyMachines, load->second.minMachines })
         + limits.minIdleMachines;
+    const double overdueCpu = static_cast<double>(load->second.overdueUsedCpu)
+        + backlogCpu(load->second.overdueCpu, load->second.overdueWork, limits);
+    demand.machinesForOverdueWork = static_cast<int>(std::ceil(overdueCpu / cpuPerMachine));
     return demand;
 }
 
@@ -132,31 +141,56 @@
     return pools;
 }
 
-} // namespace
-
-std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now)
+/// Moves \p standby machines first, then surplus ones, to the pools that lack machines. Applies the moves to
+/// \p pools, and removes the machines that it moves from both lists.
+void fillPools(const FleetState& state, std::vector<PoolDemand>& pools, std::vector<const Machine*>& standby,
+    std::vector<MachineTask>& out)
 {
-    auto pools = computeDemands(state, limits, now);
-    auto available = movableStandbyMachines(state, limits, now);
+    auto available = standby;
+    std::map<const Machine*, PoolDemand*> owners;
     for (auto& pool : pools) {
         const int surplus = pool.machineCount - pool.requiredMachines;
-        for (int i = 0; i < surplus && i < static_cast<int>(pool.removable.size()); ++i)
-            available.push_back(pool.removable[static_cast<std::size_t>(i)]);
+        for (int i = 0; i < surplus && i < static_cast<int>(pool.removable.size()); ++i) {
+            const auto* machine = pool.removable[static_cast<std::size_t>(i)];
+            available.push_back(machine);
+            owners.emplace(machine, &pool);
+        }
     }
-    std::sort(pools.begin(), pools.end(), [](const PoolDemand& a, const PoolDemand& b) {
-        return a.requiredMachines - a.machineCount > b.requiredMachines - b.machineCount;
+    std::vector<PoolDemand*> neediest;
+    for (auto& pool : pools)
+        neediest.push_back(&pool);
+    std::sort(neediest.begin(), neediest.end(), [](const PoolDemand* a, const PoolDemand* b) {
+        return a->requiredMachines - a->machineCount > b->requiredMachines - b->machineCount;
     });
-    std::vector<MachineTask> out;
     auto next = available.begin();
-    for (const auto& pool : pools) {
-        for (int missing = pool.requiredMachines - pool.machineCount; missing > 0 && next != available.end();
-             ++next) {
-            if (state.refusedMoves.contains({ (*next)->id, pool.name }))
+    for (auto* pool : neediest) {
+        for (; pool->machineCount < pool->requiredMachines && next != available.end(); ++next) {
+            const auto* machine = *next;
+            if (state.refusedMoves.contains({ machine->id, pool->name }))
+                continue;
+            out.push_back({ machine->id, MachineAction::Move, 0, pool->name, machine->vm });
+            ++pool->machineCount;
+            std::erase(standby, machine);
+            const auto owner = owners.find(machine);
+            if (owner == owners.end())
                 continue;
-            out.push_back({ (*next)->id, MachineAction::Move, 0, pool.name, (*next)->vm });
-            --missing;
+            --owner->second->machineCount;
+            std::erase(owner->second->removable, machine);
         }
     }
+}
+
+} // namespace
+
+std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now)
+{
+    auto pools = computeDemands(state, limits, now);
+    auto standby = movableStandbyMachines(state, limits, now);
+    std::vector<MachineTask> out;
+    fillPools(state, pools, standby, out);
+    for (auto& pool : pools)
+        pool.requiredMachines += pool.machinesForOverdueWork;
+    fillPools(state, pools, standby, out);
     return out;
 }
 
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -55,7 +55,7 @@
     if (isStandby(state, pool))
         return poolSize(state, pool);
     const auto load = state.loads.find(pool);
-    const bool hasBacklog = load != state.loads.end() && load->second.waitingCpu > 0;
+    const bool hasBacklog = load != state.loads.end() && load->second.waitingCpu + load->second.overdueCpu > 0;
     if (hasBacklog && !isUrgent)
         return 0;
     return std::max(1, static_cast<int>(std::floor(poolSize(state, pool) * limits.maxUnavailableShare)));
@@ -111,6 +111,8 @@
 std::string encodeLoad(const PoolLoad& load)
 {
     return json({ { "waitingCpu", load.waitingCpu }, { "waitingWork", load.waitingWork },
+                    { "overdueCpu", load.overdueCpu }, { "overdueWork", load.overdueWork },
+                    { "overdueUsedCpu", load.overdueUsedCpu },
                     { "arrivingCpu", load.arrivingCpu }, { "usedCpu", load.usedCpu },
                     { "servingCpu", load.servingCpu }, { "waitingServingCpu", load.waitingServingCpu },
                     { "minMachines", load.minMachines }, { "unfitCpu", load.unfitCpu },
@@ -128,6 +130,10 @@
         PoolLoad load;
         load.waitingCpu = value.at("waitingCpu").get<std::int64_t>();
         load.waitingWork = value.at("waitingWork").get<std::int64_t>();
+        // Rows of earlier builds lack these three.
+        load.overdueUsedCpu = value.value("overdueUsedCpu", std::int64_t(0));
+        load.overdueCpu = value.value("overdueCpu", std::int64_t(0));
+        load.overdueWork = value.value("overdueWork", std::int64_t(0));
         load.usedCpu = value.at("usedCpu").get<std::int64_t>();
         load.arrivingCpu = value.at("arrivingCpu").get<std::int64_t>();
         load.servingCpu = value.at("servingCpu").get<std::int64_t>();
--- a/src/libscheduler/job_timing.cpp
+++ b/src/libscheduler/job_timing.cpp
@@ -8,6 +8,16 @@
 /// Multiple of its objective after which a job is overdue instead of late.
 constexpr int overdueFactor = 3;
 
+milliseconds remainingCriticalPath(const JobEntry& job, const OccurrenceState& occurrence)
+{
+    auto steps = job.spec.steps;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        if (occurrence.steps[i].doneTasks == static_cast<int>(occurrence.steps[i].tasks.size()))
+            steps[i].estimate = milliseconds(0);
+    }
+    return criticalPathLength(steps);
+}
+
 } // namespace
 
 WallTime dueAt(const JobEntry& job, int occurrence)
@@ -33,6 +43,13 @@
     return took <= objective * overdueFactor ? Timeliness::Late : Timeliness::Overdue;
 }
 
+Timeliness earliestTimeliness(
+    const JobEntry& job, int number, const OccurrenceState& occurrence, const Queue* queue, WallTime wallNow)
+{
+    const auto took = wallNow + remainingCriticalPath(job, occurrence) - dueAt(job, number);
+    return timelinessOf(took, objectiveDuration(job, queue));
+}
+
 bool hasOneObjective(const JobSpec& job)
 {
     return job.occurrences == 0 && std::none_of(job.steps.begin(), job.steps.end(), [](const StepSpec& step) {
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -1,3 +1,4 @@
+#include <damaskworks/job_timing.h>
 #include <damaskworks/pool_plan.h>
 
 #include "pool_state_pvt.h"
@@ -54,7 +55,7 @@
 
 /// Adds the waiting tasks of an occurrence's ready steps to the load.
 void addWaitingTasks(const std::vector<Resources>& rooms, PoolLoad& load, const JobEntry& job,
-    const OccurrenceState& occurrence)
+    const OccurrenceState& occurrence, bool isOverdue)
 {
     for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
         const auto& step = stepOf(job, s);
@@ -70,13 +71,13 @@
             load.waitingServingCpu += cpu;
             continue;
         }
-        load.waitingCpu += cpu;
+        (isOverdue ? load.overdueCpu : load.waitingCpu) += cpu;
         const auto need = reservedBy(step);
         const bool fitsSomewhere = std::any_of(
             rooms.begin(), rooms.end(), [&](const Resources& room) { return fits(need, room); });
         if (!fitsSomewhere)
             load.unfitCpu += cpu;
-        load.waitingWork += cpu * step.estimate.count() / 1000;
+        (isOverdue ? load.overdueWork : load.waitingWork) += cpu * step.estimate.count() / 1000;
     }
 }
 
@@ -124,6 +125,34 @@
     return out;
 }
 
+/// CPU that the occurrence's running tasks reserve, without long-running ones.
+std::int64_t usedCpu(const JobEntry& job, const OccurrenceState& occurrence)
+{
+    std::int64_t cpu = 0;
+    for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+        const auto& step = stepOf(job, s);
+        if (step.longRunning)
+            continue;
+        const auto& tasks = occurrence.steps[static_cast<std::size_t>(s)].tasks;
+        cpu += reservedBy(step).cpu * std::count_if(tasks.begin(), tasks.end(), [](const TaskState& task) {
+            return task.run.has_value();
+        });
+    }
+    return cpu;
+}
+
+/// Limits the demand of a pool whose holder can't send starts fast enough to use the machines that it has. It
+/// would otherwise claim machines for its whole backlog, which stay idle while other pools lack them.
+void limitToStartRate(PoolLoad& load)
+{
+    const auto batchCpu = load.usedCpu - load.servingCpu;
+    const auto growth = batchCpu / 2;
+    load.arrivingCpu = std::min(load.arrivingCpu, batchCpu);
+    load.waitingWork = load.waitingCpu > growth ? load.waitingWork * growth / load.waitingCpu : load.waitingWork;
+    load.waitingCpu = std::min(load.waitingCpu, growth);
+    load.overdueCpu = load.overdueWork = 0;
+}
+
 } // namespace
 
 void planEvacuations(PoolState& state, TimePoint now)
@@ -149,7 +178,7 @@
     }
 }
 
-PoolLoad computeLoad(const PoolState& state, TimePoint now)
+PoolLoad computeLoad(const PoolState& state, TimePoint now, WallTime wallNow)
 {
     PoolLoad load;
     load.arrivingCpu = arrivingCpu(state, now);
@@ -180,9 +209,18 @@
     for (const auto& [id, job] : state.jobs) {
         if (isFinal(job.state))
             continue;
-        for (const auto& [number, occurrence] : job.occurrences)
-            addWaitingTasks(rooms, load, job, occurrence);
+        const auto found = state.queues.find(job.spec.queue);
+        const auto* queue = found == state.queues.end() ? nullptr : &found->second;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            const bool isOverdue
+                = earliestTimeliness(job, number, occurrence, queue, wallNow) == Timeliness::Overdue;
+            addWaitingTasks(rooms, load, job, occurrence, isOverdue);
+            if (isOverdue)
+                load.overdueUsedCpu += usedCpu(job, occurrence);
+        }
     }
+    if (state.areStartsLimited)
+        limitToStartRate(load);
     return load;
 }
 
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -34,16 +34,6 @@
     }
 };
 
-milliseconds remainingCriticalPath(const JobEntry& job, const OccurrenceState& occurrence)
-{
-    auto steps = job.spec.steps;
-    for (std::size_t i = 0; i < steps.size(); ++i) {
-        if (occurrence.steps[i].doneTasks == static_cast<int>(occurrence.steps[i].tasks.size()))
-            steps[i].estimate = milliseconds(0);
-    }
-    return criticalPathLength(steps);
-}
-
 Urgency urgencyOf(Timeliness timeliness)
 {
     switch (timeliness) {
@@ -68,8 +58,8 @@
         waiting.urgency = Urgency::Serving;
         return;
     }
-    const auto took = wallNow + remainingCriticalPath(job, job.occurrences.at(waiting.occurrence)) - due;
-    waiting.urgency = urgencyOf(timelinessOf(took, duration));
+    waiting.urgency = urgencyOf(earliestTimeliness(
+        job, waiting.occurrence, job.occurrences.at(waiting.occurrence), queue, wallNow));
 }
 
 bool isWaiting(const JobEntry& job, const TaskState& task, bool recoveryComplete)
@@ -133,9 +123,28 @@
         state.stepsNeedingTickets.push_back({ waiting.job->spec.id, waiting.occurrence, waiting.step });
 }
 
+/// Needs for which no VM had room in a pass of planStarts(). While a turn's peak leaves hundreds of steps
+/// waiting, they spare a search of all VMs for each of them.
+struct FailedNeeds {
+    std::vector<Resources> needs;
+};
+
+/// Whether only the lack of room can keep a task of the step from a VM.
+bool isUnconstrained(const PoolState& state, const JobEntry& job, const StepSpec& step)
+{
+    return step.requiredLabel.empty() && step.preferredRack.empty() && !step.sameRack && step.maxPerVm == 0
+        && !needsTicket(state, job);
+}
+
+bool hasRoomFor(const FailedNeeds& failed, const Resources& need)
+{
+    return std::none_of(failed.needs.begin(), failed.needs.end(),
+        [&](const Resources& smaller) { return fits(smaller, need); });
+}
+
 /// Starts the waiting tasks of a step one by one, until no VM can take the next.
 void placeTasks(PoolState& state, const WaitingStep& waiting, bool recoveryComplete, TimePoint now,
-    WallTime wallNow, std::vector<StartAction>& out)
+    WallTime wallNow, std::size_t maxStarts, FailedNeeds& failed, std::vector<StartAction>& out)
 {
     auto& job = *waiting.job;
     auto& step = job.occurrences.at(waiting.occurrence).steps[static_cast<std::size_t>(waiting.step)];
@@ -144,10 +153,15 @@
         auto& task = step.tasks[i];
         if (!isWaiting(job, task, recoveryComplete))
             continue;
+        if (out.size() >= maxStarts)
+            return;
         const TaskId id { job.spec.id, waiting.occurrence, waiting.step, static_cast<int>(i) };
         auto* vm = chooseVm(state, job, id, waited, now);
-        if (!vm)
+        if (!vm) {
+            if (isUnconstrained(state, job, stepOf(job, waiting.step)))
+                failed.needs.push_back(reservedBy(stepOf(job, waiting.step)));
             return recordMissingTicket(state, waiting);
+        }
         out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint, now));
     }
 }
@@ -202,7 +216,7 @@
 
 } // namespace
 
-std::vector<StartAction> planStarts(PoolState& state, TimePoint now, WallTime wallNow)
+std::vector<StartAction> planStarts(PoolState& state, TimePoint now, WallTime wallNow, int maxStarts)
 {
     const bool recoveryComplete = isRecoveryComplete(state, now);
     std::vector<WaitingStep> waiting;
@@ -216,11 +230,18 @@
         [](const WaitingStep& a, const WaitingStep& b) { return a.sortKey() < b.sortKey(); });
     state.stepsNeedingTickets.clear();
     std::vector<StartAction> out;
+    FailedNeeds failed;
+    const auto limit = static_cast<std::size_t>(std::max(maxStarts, 0));
     for (const auto& step : waiting) {
-        if (stepOf(*step.job, step.step).gang)
+        if (out.size() >= limit)
+            break;
+        const auto& spec = stepOf(*step.job, step.step);
+        if (!needsTicket(state, *step.job) && !hasRoomFor(failed, reservedBy(spec)))
+            continue;
+        if (spec.gang)
             placeGang(state, step, recoveryComplete, now, wallNow, out);
         else
-            placeTasks(state, step, recoveryComplete, now, wallNow, out);
+            placeTasks(state, step, recoveryComplete, now, wallNow, limit, failed, out);
     }
     return out;
 }
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -270,7 +270,8 @@
         found->second.isUnresponsive = true;
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Unknown;
-        run.nextStopAt = now;
+        if (run.nextStopAt != TimePoint::max())
+            run.nextStopAt = now;
         return;
     case CommandOutcome::Refused:
         recordFailure(found->second, id.job, state.limits, now);
@@ -295,9 +296,14 @@
 void applyStopOutcome(PoolState& state, std::string_view name, const TaskId& id, std::uint32_t number,
     CommandOutcome outcome, TimePoint now)
 {
+    if (auto vm = state.vms.find(name); vm != state.vms.end()) {
+        if (auto orphan = vm->second.orphanRuns.find({ id, number }); orphan != vm->second.orphanRuns.end())
+            orphan->second = now + state.limits.stopRetryDelay;
+    }
     auto* task = findTask(state, id);
     if (!task || !task->run || task->run->vm != name || task->run->number != number)
         return;
+    task->run->nextStopAt = now + state.limits.stopRetryDelay;
     if (outcome == CommandOutcome::Accepted)
         task->run->stopConfirmedAt = now;
 }
@@ -316,14 +322,15 @@
 
 } // namespace
 
-std::vector<StopAction> planStops(PoolState& state, TimePoint now)
+std::vector<StopAction> planStops(PoolState& state, TimePoint now, int maxStops)
 {
     std::vector<StopAction> stops;
+    const auto limit = static_cast<std::size_t>(std::max(maxStops, 0));
     for (auto& [name, vm] : state.vms) {
         for (auto& [run, nextStopAt] : vm.orphanRuns) {
-            if (now < nextStopAt)
+            if (now < nextStopAt || stops.size() >= limit)
                 continue;
-            nextStopAt = now + state.limits.stopRetryDelay;
+            nextStopAt = TimePoint::max();
             stops.push_back({ name, run.first, run.second });
         }
         for (const auto& id : vm.runs) {
@@ -339,9 +346,10 @@
                 recordFailure(vm, id.job, state.limits, now);
             }
             const bool stopping = run.phase == RunPhase::Stopping || run.phase == RunPhase::Unknown;
-            if (!stopping || run.stopConfirmedAt != TimePoint {} || now < run.nextStopAt)
+            if (!stopping || run.stopConfirmedAt != TimePoint {} || now < run.nextStopAt
+                || stops.size() >= limit)
                 continue;
-            run.nextStopAt = now + state.limits.stopRetryDelay;
+            run.nextStopAt = TimePoint::max();
             stops.push_back({ name, id, run.number });
         }
     }
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -146,7 +146,8 @@
     if (run.phase == RunPhase::Stopping)
         return;
     run.phase = RunPhase::Stopping;
-    run.nextStopAt = now;
+    if (run.nextStopAt != TimePoint::max())
+        run.nextStopAt = now;
 }
 
 void releaseAllRuns(PoolState& state, VmState& vm)
@@ -216,7 +217,9 @@
         auto& vm = it->second;
         const bool over
             = vm.hasReported ? isLeaseExpired(vm, state.limits, now) : now >= state.recoveryDeadline;
-        if (vm.isUnresponsive && vm.hasReported && over)
+        const bool mayHaveUnreportedEnds
+            = vm.isRegistered && !isLeaseExpired(vm, state.limits, now - state.limits.silentVmGrace);
+        if (vm.isUnresponsive && vm.hasReported && over && !mayHaveUnreportedEnds)
             releaseAllRuns(state, vm);
         if (!vm.isRegistered && over && vm.runs.empty()) {
             it = state.vms.erase(it);
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -76,6 +76,9 @@
     advance(state.limits.vmLease);
     expireLeases(state, clock.now());
     BOOST_TEST(starts().empty());
+    unlistVm(state, vm);
+    expireLeases(state, clock.now());
+    BOOST_TEST(starts().empty());
     advance(state.limits.vmLease / 20);
     expireLeases(state, clock.now());
     const auto next = starts();
@@ -83,6 +86,35 @@
     BOOST_TEST(next[0].vm != vm);
 }
 
+// A holder whose link was full did not hear of its VMs for longer than their lease. Their tasks had ended, and
+// were started again elsewhere: the lease of a VM that runs nothing protects nothing.
+BOOST_AUTO_TEST_CASE(endedTaskOfASilentRegisteredVmIsNotStartedAgain)
+{
+    addVm("v1");
+    addVm("v2");
+    submit("j1", { makeStep(1) });
+    const auto first = startAndAccept();
+    markUnresponsive(state, first[0].vm);
+    advance(state.limits.vmLease * 21 / 20);
+    expireLeases(state, clock.now());
+    BOOST_TEST(starts().empty());
+    report(first[0].vm, { makeEnd(1, first[0]) });
+    BOOST_TEST(starts().empty());
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(taskOfASilentRegisteredVmIsStartedAgainAfterTheGrace)
+{
+    addVm("v1");
+    addVm("v2");
+    submit("j1", { makeStep(1) });
+    const auto first = startAndAccept();
+    markUnresponsive(state, first[0].vm);
+    advance(state.limits.vmLease * 21 / 20 + state.limits.silentVmGrace);
+    expireLeases(state, clock.now());
+    BOOST_TEST(starts().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(unresponsiveVmIsPolledWithoutLeaseRenewal)
 {
     addVm("v1");
@@ -94,6 +126,7 @@
         advance(200ms);
         BOOST_TEST(planHeartbeat(state.vms.at("v1"), state.limits, clock.now()).leaseUntil.count() == 0);
     }
+    unlistVm(state, "v1");
     expireLeases(state, clock.now());
     BOOST_TEST(!task("j1", 0, 0).run);
 }
@@ -212,17 +245,17 @@
     startAndAccept();
     submit("j2", { makeStep(1, 3000) });
     BOOST_TEST(starts().empty());
-    BOOST_TEST(computeLoad(state, clock.now()).unfitCpu == 3000);
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).unfitCpu == 3000);
     addVm("v2", 4000);
-    BOOST_TEST(computeLoad(state, clock.now()).unfitCpu == 0);
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).unfitCpu == 0);
 }
 
 BOOST_AUTO_TEST_CASE(vmWithoutReportDoesNotCountAsIdle)
 {
     addVm("v1", 4000, "r1", false);
-    BOOST_TEST(computeLoad(state, clock.now()).runs.contains("m-v1"));
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).runs.contains("m-v1"));
     report("v1");
-    BOOST_TEST(!computeLoad(state, clock.now()).runs.contains("m-v1"));
+    BOOST_TEST(!computeLoad(state, clock.now(), wallNow).runs.contains("m-v1"));
 }
 
 BOOST_AUTO_TEST_CASE(newHolderAdoptsRunningTasks)
@@ -359,9 +392,9 @@
         vm.isEvacuating = true;
         vm.evacuationTask = "7.1";
     }
-    BOOST_TEST(computeLoad(state, clock.now()).empty.empty());
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).empty.empty());
     state.vms.at("now").runs.clear();
-    BOOST_TEST(computeLoad(state, clock.now()).empty.contains("m-before"));
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).empty.contains("m-before"));
 }
 
 BOOST_AUTO_TEST_CASE(jobOfARemovedQueueKeepsItsMaxAttempts)
@@ -409,7 +442,7 @@
         const auto due = 10 * ms * ms / 2'000'000;
         for (; jobs < due; ++jobs)
             recordArrival(state, makeJob("j" + std::to_string(jobs), { makeStep(10) }), clock.now());
-        forecast = computeLoad(state, clock.now()).arrivingCpu;
+        forecast = computeLoad(state, clock.now(), wallNow).arrivingCpu;
     }
     // The rate is 40 jobs per second now and 60 when a machine requested now has joined; each job needs ten
     // cores for a second.
@@ -419,7 +452,7 @@
     for (int ms = 0; ms < 2000; ms += 50) {
         advance(50ms);
         recordArrival(state, makeJob("k" + std::to_string(ms), { makeStep(10) }), clock.now());
-        forecast = computeLoad(state, clock.now()).arrivingCpu;
+        forecast = computeLoad(state, clock.now(), wallNow).arrivingCpu;
     }
     BOOST_TEST(forecast <= 210'000);
 }
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -42,4 +42,12 @@
     return out;
 }
 
+int countWaiting(const WaitingStarts& waiting)
+{
+    std::size_t count = 0;
+    for (const auto& [job, starts] : waiting)
+        count += starts.size();
+    return static_cast<int>(count);
+}
+
 } // namespace damask::fleet
