--- a/src/include/damaskworks/http.h
+++ b/src/include/damaskworks/http.h
@@ -72,6 +72,9 @@
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// Longest time from a request's first byte to its last.
     std::chrono::milliseconds requestTimeout { 30'000 };
+    /// Client: connections to one address; 0: no limit. Further requests wait for one of them, in the time that
+    /// their timeout leaves.
+    std::size_t maxConnectionsPerAddress = 0;
 };
 
 /// A request being served, and its response. It stays valid after the caller has disconnected; responses are
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <deque>
 #include <list>
 #include <set>
 #include <strings.h>
@@ -93,6 +94,7 @@
         HttpAttemptId id = 0;
         Connection connection;
         evhttp_request* raw = nullptr;
+        HttpRequest request; ///< until it is given to a connection
         evbuffer_cb_entry* outputCallback = nullptr; ///< sets hasSentBytes
         evbuffer_cb_entry* inputCallback = nullptr; ///< counts receivedBytes
         event* timer = nullptr; ///< for HttpTimeouts::total
@@ -111,6 +113,8 @@
     HttpAttemptId nextId = 1;
     std::unordered_map<HttpAttemptId, std::unique_ptr<Attempt>> attempts;
     std::map<Address, std::list<evhttp_connection*>> idle;
+    std::map<Address, std::size_t> inUse; ///< connections that carry a request
+    std::map<Address, std::deque<HttpAttemptId>> waiting; ///< attempts without a connection, oldest first
     std::set<Address> unsolicitedSenders; ///< addresses that have sent bytes without a request
     std::vector<evhttp_connection*> discarded; ///< connections that wait for freeDiscarded()
     event* discardEvent = nullptr;
@@ -288,15 +292,44 @@
         auto attempt = std::move(found->second);
         attempts.erase(found);
         cleanUp(*attempt, shouldCancel, isReusable);
+        sendNextWaiting(attempt->connection.address);
         if (attempt->callback)
             attempt->callback(std::move(result));
     }
 
+    bool hasFreeConnection(const Address& address) const
+    {
+        const auto count = inUse.find(address);
+        return limits.maxConnectionsPerAddress == 0 || count == inUse.end()
+            || count->second < limits.maxConnectionsPerAddress;
+    }
+
+    /// Gives a free connection to the attempt that has waited longest for one.
+    void sendNextWaiting(const Address& address)
+    {
+        const auto queue = waiting.find(address);
+        if (queue == waiting.end())
+            return;
+        while (!queue->second.empty() && hasFreeConnection(address)) {
+            const auto next = attempts.find(queue->second.front());
+            queue->second.pop_front();
+            if (next != attempts.end()) // else it has timed out
+                connect(*next->second);
+        }
+        if (queue->second.empty())
+            waiting.erase(queue);
+    }
+
+    /// Gives the attempt a connection and sends its request.
+    void connect(Attempt& attempt);
+
     /// Frees what belongs to the attempt and releases its connection.
     void cleanUp(Attempt& attempt, bool shouldCancel, bool isReusable)
     {
         event_free(attempt.timer);
         event_free(attempt.arrivalTimer);
+        if (!attempt.connection.raw)
+            return; // it was still waiting for a connection
         auto* bev = evhttp_connection_get_bufferevent(attempt.connection.raw);
         evbuffer_remove_cb_entry(bufferevent_get_output(bev), attempt.outputCallback);
         evbuffer_remove_cb_entry(bufferevent_get_input(bev), attempt.inputCallback);
@@ -305,6 +338,8 @@
             evhttp_cancel_request(attempt.raw);
         }
         releaseConnection(attempt.connection, isReusable);
+        if (auto count = inUse.find(attempt.connection.address); --count->second == 0)
+            inUse.erase(count);
     }
 };
 
@@ -342,14 +377,8 @@
     attempt.id = impl.nextId++;
     attempt.callback = std::move(callback);
     attempt.isHeadRequest = request.method == "HEAD";
-    auto* connection = impl.takeIdleConnection(address);
-    const bool isReused = connection != nullptr;
-    if (!connection)
-        connection = impl.createConnection(address);
-    attempt.connection = { connection, address };
-    auto* bev = evhttp_connection_get_bufferevent(connection);
-    attempt.outputCallback = evbuffer_add_cb(bufferevent_get_output(bev), Impl::onOutput, &attempt);
-    attempt.inputCallback = evbuffer_add_cb(bufferevent_get_input(bev), Impl::onInput, &attempt);
+    attempt.connection.address = address;
+    attempt.request = request;
     attempt.timer = event_new(impl.base, -1, 0, Impl::onTimeout, &attempt);
     attempt.arrivalTimer = event_new(impl.base, -1, 0, Impl::onTimeout, &attempt);
     attempt.stallTimeout = toTimeval(timeouts.stall);
@@ -357,9 +386,30 @@
     const auto firstByte = toTimeval(timeouts.firstByte);
     event_add(attempt.timer, &total);
     event_add(attempt.arrivalTimer, &firstByte);
+    const auto id = attempt.id;
+    impl.attempts.emplace(id, std::move(owned));
+    if (impl.hasFreeConnection(address))
+        impl.connect(attempt);
+    else
+        impl.waiting[address].push_back(id);
+    return id;
+}
 
-    attempt.raw = evhttp_request_new(Impl::onDone, &attempt);
-    evhttp_request_set_error_cb(attempt.raw, Impl::onError);
+void HttpClient::Impl::connect(Attempt& attempt)
+{
+    const auto& address = attempt.connection.address;
+    const auto request = std::move(attempt.request);
+    ++inUse[address];
+    auto* connection = takeIdleConnection(address);
+    const bool isReused = connection != nullptr;
+    if (!connection)
+        connection = createConnection(address);
+    attempt.connection.raw = connection;
+    auto* bev = evhttp_connection_get_bufferevent(connection);
+    attempt.outputCallback = evbuffer_add_cb(bufferevent_get_output(bev), onOutput, &attempt);
+    attempt.inputCallback = evbuffer_add_cb(bufferevent_get_input(bev), onInput, &attempt);
+    attempt.raw = evhttp_request_new(onDone, &attempt);
+    evhttp_request_set_error_cb(attempt.raw, onError);
     auto* headers = evhttp_request_get_output_headers(attempt.raw);
     if (!http::header(request.headers, "host"))
         evhttp_add_header(headers, "Host", http::toString(address).c_str());
@@ -370,20 +420,17 @@
         evhttp_add_header(headers, "Content-Length", std::to_string(request.body.size()).c_str());
     const std::string target = request.query.empty() ? request.path : request.path + "?" + request.query;
     const auto id = attempt.id;
-    impl.attempts.emplace(id, std::move(owned));
-    auto* raw = attempt.raw;
     // On failure libevent has already freed the request. The attempt's timer then ends the attempt as a
     // timeout.
-    if (evhttp_make_request(connection, raw, toCommand(request.method), target.c_str()) != 0) {
-        auto found = impl.attempts.find(id);
-        if (found != impl.attempts.end()) {
+    if (evhttp_make_request(connection, attempt.raw, toCommand(request.method), target.c_str()) != 0) {
+        auto found = attempts.find(id);
+        if (found != attempts.end()) {
             found->second->raw = nullptr;
             event_active(found->second->timer, EV_TIMEOUT, 0);
         }
     } else if (isReused) {
         net::flushOutput(bev);
     }
-    return id;
 }
 
 void HttpClient::cancel(HttpAttemptId attempt)
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -275,3 +275,59 @@
     BOOST_REQUIRE(loop.runUntil([&] { return result.has_value(); }, 700ms));
     BOOST_TEST(!result->has_value());
 }
+
+namespace {
+
+/// Sends \p count requests to \p address at once over at most two connections, and collects the results.
+struct LimitedClientFixture {
+    Loop loop;
+    HttpClient client { loop.base(), HttpLimits { .maxConnectionsPerAddress = 2 } };
+    std::vector<HttpResult> results;
+
+    void sendAll(const Address& address, int count, std::chrono::milliseconds timeout)
+    {
+        for (int i = 0; i < count; ++i)
+            client.send(address, { .path = "/" }, timeout,
+                [this](HttpResult result) { results.push_back(std::move(result)); });
+    }
+};
+
+} // namespace
+
+// A pool's holder opened a connection for each command that it had in flight at a VM: seven for a thousand VMs, which
+// is as many descriptors as it may have.
+BOOST_FIXTURE_TEST_CASE(requestsBeyondTheConnectionLimitWaitAndAreAnswered, LimitedClientFixture)
+{
+    RawEndpoint endpoint(
+        loop.base(), [](const auto& connection, const std::string&) { connection->send(okResponse); });
+    sendAll(endpoint.address(), 7, 2s);
+    BOOST_REQUIRE(loop.runUntil([&] { return results.size() == 7; }, 5s));
+    for (const auto& result : results)
+        BOOST_TEST(result.has_value());
+    BOOST_TEST(endpoint.connections() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(requestThatTimesOutWhileItWaitsWasNotSent, LimitedClientFixture)
+{
+    RawEndpoint endpoint(loop.base(), [](const auto&, const std::string&) { });
+    sendAll(endpoint.address(), 3, 200ms);
+    BOOST_REQUIRE(loop.runUntil([&] { return results.size() == 3; }, 5s));
+    int unsent = 0;
+    for (const auto& result : results) {
+        BOOST_REQUIRE(!result.has_value());
+        unsent += !result.error().mayHaveBeenSent;
+    }
+    BOOST_TEST(unsent == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(waitingRequestsGoOnAfterOthersAreCancelled, LimitedClientFixture)
+{
+    RawEndpoint endpoint(loop.base(), [](const auto&, const std::string&) { });
+    const auto first = client.send(endpoint.address(), { .path = "/" }, 2s, [](const HttpResult&) { });
+    const auto second = client.send(endpoint.address(), { .path = "/" }, 2s, [](const HttpResult&) { });
+    sendAll(endpoint.address(), 1, 2s);
+    BOOST_REQUIRE(loop.runUntil([&] { return endpoint.requests().size() == 2; }, 5s));
+    client.cancel(first);
+    client.cancel(second);
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests().size() == 3; }, 5s));
+}
