Reject submissions with numbers out of range, and survive rows with values of another type

A state row or a machine task whose value had another type threw an exception that nothing caught, on every node that reads the row. A submission with 2^32+1 or -1 occurrences, negative resources or 10^8 tasks was accepted; the holder of its pool would end or run out of memory, and so would the next.

--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -164,12 +164,16 @@
     const auto value = json::parse(text, nullptr, false);
     if (!value.is_object())
         return std::nullopt;
-    const auto action = valueOf(machineActionNames, value.value("action", ""));
-    const auto state = valueOf(machineTaskStateNames, value.value("state", ""));
-    if (!action || !state)
+    try {
+        const auto action = valueOf(machineActionNames, value.value("action", ""));
+        const auto state = valueOf(machineTaskStateNames, value.value("state", ""));
+        if (!action || !state)
+            return std::nullopt;
+        return MachineTask { value.value("machine", ""), *action, value.value("wave", std::int64_t { 0 }),
+            value.value("toPool", ""), value.value("oldVm", ""), *state, value.value("id", "") };
+    } catch (const json::exception&) {
         return std::nullopt;
-    return MachineTask { value.value("machine", ""), *action, value.value("wave", std::int64_t { 0 }),
-        value.value("toPool", ""), value.value("oldVm", ""), *state, value.value("id", "") };
+    }
 }
 
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now)
--- a/src/libscheduler/job.cpp
+++ b/src/libscheduler/job.cpp
@@ -135,8 +135,11 @@
         job.queue = value.at("queue").get<std::string>();
         job.pool = value.at("pool").get<std::string>();
         job.specBytes = value.value("specBytes", std::size_t(0));
-        for (const auto& step : value.at("steps"))
+        for (const auto& step : value.at("steps")) {
             job.steps.push_back(stepFromJson(step));
+            if (job.steps.back().count < 1)
+                return std::nullopt;
+        }
         job.maxAttempts = value.at("attempts").get<int>();
         job.occurrences = value.value("occurrences", 0);
         job.firstDue = WallTime(value.value("firstDue", std::int64_t(0)));
--- a/src/libscheduler/progress.cpp
+++ b/src/libscheduler/progress.cpp
@@ -62,6 +62,15 @@
     return out;
 }
 
+/// The field "state"; Queued if it is missing or malformed.
+JobState stateField(const json& value)
+{
+    const auto field = value.find("state");
+    if (field == value.end() || !field->is_string())
+        return JobState::Queued;
+    return valueOf(jobStateNames, field->get<std::string>()).value_or(JobState::Queued);
+}
+
 TaskState* taskAt(OccurrenceState& occurrence, const json& entry)
 {
     const auto step = entry.at(0).get<std::size_t>();
@@ -106,9 +115,7 @@
 JobState decodeState(std::string_view record)
 {
     const auto value = json::parse(record, nullptr, false);
-    if (!value.is_object())
-        return JobState::Queued;
-    return valueOf(jobStateNames, value.value("state", "")).value_or(JobState::Queued);
+    return value.is_object() ? stateField(value) : JobState::Queued;
 }
 
 bool decodeProgress(JobEntry& job, std::string_view progress)
@@ -116,7 +123,7 @@
     const auto value = json::parse(progress, nullptr, false);
     if (!value.is_object())
         return false;
-    job.state = valueOf(jobStateNames, value.value("state", "")).value_or(JobState::Queued);
+    job.state = stateField(value);
     try {
         for (const auto& entry : value.value("occurrences", json::array()))
             decodeOccurrence(openOccurrence(job, entry.at("number").get<int>()), entry);
