Keep the loads of pools in a table that only the machine coordinator follows

Cause: the rows of loads were in the control table, which every node follows. Change: table loads; the coordinator's node follows it while it has the lease. A follower may be destroyed with a request in flight. Rows of loads that an earlier build wrote are ignored; holders of this build write new ones at their first change. Conclusion: what a node reads no longer grows with the machines of all pools.

--- a/src/bench_pool/bench_pool.cpp
+++ b/src/bench_pool/bench_pool.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Cost of one pass of a pool's holder by the number of its VMs: a turn's peak, with every VM full and a backlog of
-/// jobs.
+/// Cost of one pass of a pool's holder by the number of its VMs: a turn's peak, with every VM full and a
+/// backlog of jobs.
 #include <damaskworks/pool_plan.h>
 
 #include <benchmark/benchmark.h>
--- a/src/include/damaskworks/command_window.h
+++ b/src/include/damaskworks/command_window.h
@@ -14,8 +14,8 @@
 /// repeated, which loads the link further.
 ///
 /// The window is delay-based like that of TCP Vegas (Brakmo and Peterson, "TCP Vegas: End to End Congestion
-/// Avoidance on a Global Internet", 1995): it shrinks when responses take longer than a healthy VM needs, before
-/// any is lost. The response time is smoothed over all VMs, so a few slow VMs hardly change it.
+/// Avoidance on a Global Internet", 1995): it shrinks when responses take longer than a healthy VM needs,
+/// before any is lost. The response time is smoothed over all VMs, so a few slow VMs hardly change it.
 struct CommandWindow {
     double size = 64; ///< commands that may be outstanding
     std::chrono::duration<double, std::milli> responseTime { 0 }; ///< smoothed
@@ -24,8 +24,8 @@
 
 /// Number of further commands that may be sent while \p outstanding are planned or in flight; not negative.
 int freeCommands(const CommandWindow& window, int outstanding);
-/// Adjusts the window after a command was answered or has timed out. \p elapsed is the time since it was sent,
-/// \p outstanding the number of commands before it ended.
+/// Adjusts the window after a command was answered or has timed out. \p elapsed is the time since it was
+/// sent, \p outstanding the number of commands before it ended.
 void recordCommandEnd(CommandWindow& window, Duration elapsed, int outstanding, TimePoint now);
 /// Pause between two reports of a VM: zero while commands are answered quickly, else long enough for several
 /// ends of runs to share a report.
--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -60,6 +60,8 @@
     /// Called after each batch of control rows, which FleetRows and the election have already applied.
     void onControlRowsApplied();
     void onLeaseAcquired(const std::string& pool, const AcquiredLease& lease);
+    /// Follows the pools' loads, as long as this node coordinates the machines.
+    void followLoads();
     /// Calls begin() on the holders and the coordinator once the node has read the tables up to their
     /// acquiredVersion().
     void beginReadyHolders();
@@ -84,6 +86,7 @@
     const AdapterPlugin& m_plugin;
     NodeOptions m_options;
     NodeSettings m_settings;
+    std::uint64_t m_seed;
     std::string m_session;
     Metrics m_metrics;
     TableContact m_tableContact;
@@ -98,6 +101,7 @@
     std::set<std::string> m_pools; ///< pools that need a holder
     FleetRows m_fleetRows;
     std::unique_ptr<MachineCoordinator> m_coordinator;
+    std::unique_ptr<TableFollower> m_loadRows; ///< only beside m_coordinator
     bool m_coordinatorEnded = false;
     std::map<std::string, std::unique_ptr<PoolHolder>> m_holders;
     std::vector<std::string> m_endedHolders;
--- a/src/include/damaskworks/http.h
+++ b/src/include/damaskworks/http.h
@@ -72,8 +72,8 @@
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// Longest time from a request's first byte to its last.
     std::chrono::milliseconds requestTimeout { 30'000 };
-    /// Client: connections to one address; 0: no limit. Further requests wait for one of them, in the time that
-    /// their timeout leaves.
+    /// Client: connections to one address; 0: no limit. Further requests wait for one of them, in the time
+    /// that their timeout leaves.
     std::size_t maxConnectionsPerAddress = 0;
 };
 
--- a/src/include/damaskworks/job_directory.h
+++ b/src/include/damaskworks/job_directory.h
@@ -24,6 +24,9 @@
 inline constexpr std::string_view controlTable = "control";
 
 /// Key of a pool's load in its part of the control table.
+/// Loads of pools. They grow with the machines of a pool and change several times a second, so only the node
+/// that coordinates machines follows them.
+inline constexpr std::string_view loadTable = "loads";
 inline constexpr std::string_view loadKey = "load";
 /// Pool name of the machine coordinator's lease. No pool of VMs has this name.
 inline constexpr std::string_view coordinatorPool = "@machines";
--- a/src/include/damaskworks/job_timing.h
+++ b/src/include/damaskworks/job_timing.h
@@ -26,7 +26,8 @@
 milliseconds objectiveDuration(const JobEntry& job, const Queue* queue);
 /// Compares the time \p took, counted from dueAt(), with the objective.
 Timeliness timelinessOf(milliseconds took, milliseconds objective);
-/// Timeliness of an occurrence if all its tasks that are not done started at \p wallNow. \p queue may be nullptr.
+/// Timeliness of an occurrence if all its tasks that are not done started at \p wallNow. \p queue may be
+/// nullptr.
 Timeliness earliestTimeliness(
     const JobEntry& job, int number, const OccurrenceState& occurrence, const Queue* queue, WallTime wallNow);
 /// Whether a single objective covers the job: it is not scheduled and has no long-running tasks.
--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -25,8 +25,10 @@
 /// Pool loads, machine tasks and waves from the rows of the control table. Every node keeps them up to date.
 class FleetRows {
 public:
-    /// Replaces everything by \p rows.
+    /// Replaces everything but the loads by \p rows.
     void reset(const std::vector<TableRow>& rows);
+    /// Replaces the loads by \p rows.
+    void resetLoads(const std::vector<TableRow>& rows);
     /// Applies one changed row; ignores rows of other kinds.
     void apply(const TableRow& row);
     const std::map<std::string, PoolLoad>& loads() const { return m_loads; }
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -10,8 +10,9 @@
 namespace damask::fleet {
 
 /// Chooses VMs for waiting tasks and records the starts as runs. The caller sends the commands.
-/// \p wallNow decides which occurrences of scheduled jobs are due. Plans at most \p maxStarts starts, the most
-/// urgent first, and a gang whole if one start is left for it; the other tasks wait without reserving resources.
+/// \p wallNow decides which occurrences of scheduled jobs are due. Plans at most \p maxStarts starts, the
+/// most urgent first, and a gang whole if one start is left for it; the other tasks wait without reserving
+/// resources.
 std::vector<StartAction> planStarts(
     PoolState& state, TimePoint now, WallTime wallNow, int maxStarts = std::numeric_limits<int>::max());
 
@@ -21,7 +22,8 @@
 /// Marks tasks to be stopped on VMs that are evacuated or draining. Long-running tasks are stopped within
 /// their step's disruption budget (maxUnavailable).
 void planEvacuations(PoolState& state, TimePoint now);
-/// Load of the pool, as reported to the machine coordinator. \p wallNow decides which waiting work is overdue.
+/// Load of the pool, as reported to the machine coordinator. \p wallNow decides which waiting work is
+/// overdue.
 PoolLoad computeLoad(const PoolState& state, TimePoint now, WallTime wallNow);
 
 /// A command that sets the share of its CPU that a task may use.
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -202,8 +202,9 @@
 /// Applies a VM's report of its runs. \p sentAt is when the request for it was sent.
 void applyReport(
     PoolState& state, std::string_view vm, const VmReport& report, TimePoint sentAt, TimePoint now);
-/// Sets the MachineTask::id that a VM is evacuated for; empty: none. After an evacuation the VM gets no tasks before
-/// its next report: its machine may have been moved or maintained, and its registration remains for some time.
+/// Sets the MachineTask::id that a VM is evacuated for; empty: none. After an evacuation the VM gets no tasks
+/// before its next report: its machine may have been moved or maintained, and its registration remains for
+/// some time.
 void setEvacuation(VmState& vm, const std::string& task);
 /// Marks a VM whose last call got no response.
 void markUnresponsive(PoolState& state, std::string_view vm);
--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
@@ -44,6 +45,9 @@
 
     TableFollower(event_base* base, SharedTable& table, const Clock& clock, Metrics& metrics,
         FollowSettings settings, std::uint64_t seed);
+    ~TableFollower();
+    TableFollower(const TableFollower&) = delete;
+    TableFollower& operator=(const TableFollower&) = delete;
     void setListeners(ResetListener onReset, ChangeListener onChange, BatchListener onBatch);
     void start();
     void setPauseAfterChanges(std::chrono::milliseconds pauseAfterChanges)
@@ -101,6 +105,7 @@
     TimePoint m_lastContact {};
     TimePoint m_currentAsOf {};
     TimePoint m_loadStartedAt {};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< false once destroyed
 };
 
 /// Whether the follower's rows are recent enough to act on: it has had a response within \p maxAge, and the
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -18,6 +18,7 @@
 /// Pause for leases and VM registrations, which change every few hundred milliseconds. Reading several
 /// changes at once does no harm.
 constexpr milliseconds controlTablePause { 250 };
+constexpr milliseconds loadTablePause { 50 };
 /// A holder starts no tasks if the table of jobs or that of VMs has not responded for this long. Requests for
 /// changes return within 1 s. A cancelled job's tasks must not start 3 s after the cancellation, and a VM
 /// must get no new tasks 2 s after it has reported that it leaves.
@@ -64,6 +65,7 @@
     , m_plugin(plugin)
     , m_options(std::move(options))
     , m_settings(std::move(settings))
+    , m_seed(seed)
     , m_session(m_settings.node + "-" + std::to_string(seed))
     , m_adapter(openAdapter(plugin, loop, m_settings, clock, m_metrics, m_tableContact))
     , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
@@ -288,6 +290,7 @@
         m_coordinator = std::make_unique<MachineCoordinator>(
             context, lease, m_leaseTiming, [this] { m_coordinatorEnded = true; });
         m_controlRows.setPauseAfterChanges(holderPause);
+        followLoads();
         return beginReadyHolders();
     }
     auto areViewsFresh = [this] {
@@ -303,6 +306,20 @@
     beginReadyHolders();
 }
 
+void FleetNode::followLoads()
+{
+    m_loadRows = std::make_unique<TableFollower>(m_loop.base(), *m_adapter.table, m_clock, m_metrics,
+        FollowSettings { std::string(loadTable), true, loadTablePause }, m_seed + 6);
+    m_loadRows->setListeners([this](const std::vector<TableRow>& rows) { m_fleetRows.resetLoads(rows); },
+        [this](const TableRow& row) { m_fleetRows.apply(row); },
+        [this] {
+            beginReadyHolders();
+            if (m_coordinator)
+                m_coordinator->reconcile();
+        });
+    m_loadRows->start();
+}
+
 void FleetNode::beginReadyHolders()
 {
     if (!m_config)
@@ -316,7 +333,7 @@
         holder->setEvacuations(m_fleetRows.evacuations());
         holder->begin(*m_config, m_vms);
     }
-    if (m_coordinator && !m_coordinator->hasBegun()
+    if (m_coordinator && !m_coordinator->hasBegun() && m_loadRows->isLoaded()
         && m_controlRows.version() >= m_coordinator->acquiredVersion())
         m_coordinator->begin(*m_config, m_waves);
 }
@@ -328,6 +345,7 @@
     m_endedHolders.clear();
     if (m_coordinatorEnded) {
         m_coordinator.reset();
+        m_loadRows.reset();
         m_coordinatorEnded = false;
         m_controlRows.setPauseAfterChanges(controlTablePause);
     }
--- a/src/libfleet/fleet_rows.cpp
+++ b/src/libfleet/fleet_rows.cpp
@@ -41,7 +41,16 @@
 
 void FleetRows::reset(const std::vector<TableRow>& rows)
 {
+    auto loads = std::move(m_loads);
     *this = FleetRows();
+    m_loads = std::move(loads);
+    for (const auto& row : rows)
+        apply(row);
+}
+
+void FleetRows::resetLoads(const std::vector<TableRow>& rows)
+{
+    m_loads.clear();
     for (const auto& row : rows)
         apply(row);
 }
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -307,8 +307,7 @@
     if (m_pendingLoad) {
         m_publishedLoad = *m_pendingLoad;
         m_pendingLoad.reset();
-        batch.writes.push_back(
-            { std::string(controlTable), std::string(loadKey), encodeLoad(m_publishedLoad) });
+        batch.writes.push_back({ std::string(loadTable), std::string(loadKey), encodeLoad(m_publishedLoad) });
     }
     bool isComplete = true;
     for (auto& [id, job] : m_state.jobs) {
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -12,7 +12,8 @@
 /// Longest delay of a heartbeat, and so of the VM's lease renewal, while ends of runs become durable. A
 /// VM's lease lasts several times as long.
 constexpr milliseconds maxAckDelay { 300 };
-/// Time after which a limit of the starts counts as lasting. At the beginning of a peak the window still grows.
+/// Time after which a limit of the starts counts as lasting. At the beginning of a peak the window still
+/// grows.
 constexpr milliseconds startLimitDelay { 500 };
 
 } // namespace
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -49,6 +49,8 @@
 {
 }
 
+TableFollower::~TableFollower() { *m_alive = false; }
+
 void TableFollower::setListeners(ResetListener onReset, ChangeListener onChange, BatchListener onBatch)
 {
     m_onReset = std::move(onReset);
@@ -112,7 +114,9 @@
 {
     m_loadStep = [this, part, from] { readPart(part, from); };
     m_table.read(m_settings.table, part, from, static_cast<int>(rowsPerPage),
-        [this, part](TableResult<TableRows> rows) {
+        [this, part, alive = m_alive](TableResult<TableRows> rows) {
+            if (!*alive)
+                return;
             if (!rows)
                 return onFailure(rows.error(), true);
             onSuccess();
@@ -142,18 +146,21 @@
 {
     m_loadStep = [this, after] { listParts(after); };
     constexpr std::size_t namesPerPage = 1000;
-    m_table.parts(m_settings.table, after, [this](TableResult<std::vector<std::string>> names) {
-        if (!names)
-            return onFailure(names.error(), true);
-        onSuccess();
-        for (const auto& name : *names) {
-            if (!name.empty())
-                m_partsToRead.push_back(name);
-        }
-        if (names->size() >= namesPerPage)
-            return listParts(names->back());
-        readNextPart();
-    });
+    m_table.parts(
+        m_settings.table, after, [this, alive = m_alive](TableResult<std::vector<std::string>> names) {
+            if (!*alive)
+                return;
+            if (!names)
+                return onFailure(names.error(), true);
+            onSuccess();
+            for (const auto& name : *names) {
+                if (!name.empty())
+                    m_partsToRead.push_back(name);
+            }
+            if (names->size() >= namesPerPage)
+                return listParts(names->back());
+            readNextPart();
+        });
 }
 
 void TableFollower::finishLoad()
@@ -175,8 +182,10 @@
 void TableFollower::follow()
 {
     const auto wait = std::exchange(m_needsConfirmation, false) ? milliseconds(0) : m_settings.maxWait;
-    m_table.follow(
-        m_settings.table, m_version, wait, [this, wait, sentAt = m_clock.now()](TableResult<TableRows> rows) {
+    m_table.follow(m_settings.table, m_version, wait,
+        [this, wait, alive = m_alive, sentAt = m_clock.now()](TableResult<TableRows> rows) {
+            if (!*alive)
+                return;
             if (!rows)
                 return onFailure(rows.error(), rows.error() == TableFailure::HistoryTruncated);
             onSuccess();
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -2,12 +2,12 @@
 
 #include "flush_pvt.h"
 
+#include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <deque>
 #include <list>
 #include <set>
 #include <strings.h>
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -294,8 +294,8 @@
 
 } // namespace
 
-// A pool's holder opened a connection for each command that it had in flight at a VM: seven for a thousand VMs, which
-// is as many descriptors as it may have.
+// A pool's holder opened a connection for each command that it had in flight at a VM: seven for a thousand
+// VMs, which is as many descriptors as it may have.
 BOOST_FIXTURE_TEST_CASE(requestsBeyondTheConnectionLimitWaitAndAreAnswered, LimitedClientFixture)
 {
     RawEndpoint endpoint(
@@ -309,7 +309,7 @@
 
 BOOST_FIXTURE_TEST_CASE(requestThatTimesOutWhileItWaitsWasNotSent, LimitedClientFixture)
 {
-    RawEndpoint endpoint(loop.base(), [](const auto&, const std::string&) { });
+    RawEndpoint endpoint(loop.base(), [](const auto&, const std::string&) {});
     sendAll(endpoint.address(), 3, 200ms);
     BOOST_REQUIRE(loop.runUntil([&] { return results.size() == 3; }, 5s));
     int unsent = 0;
@@ -322,9 +322,9 @@
 
 BOOST_FIXTURE_TEST_CASE(waitingRequestsGoOnAfterOthersAreCancelled, LimitedClientFixture)
 {
-    RawEndpoint endpoint(loop.base(), [](const auto&, const std::string&) { });
-    const auto first = client.send(endpoint.address(), { .path = "/" }, 2s, [](const HttpResult&) { });
-    const auto second = client.send(endpoint.address(), { .path = "/" }, 2s, [](const HttpResult&) { });
+    RawEndpoint endpoint(loop.base(), [](const auto&, const std::string&) {});
+    const auto first = client.send(endpoint.address(), { .path = "/" }, 2s, [](const HttpResult&) {});
+    const auto second = client.send(endpoint.address(), { .path = "/" }, 2s, [](const HttpResult&) {});
     sendAll(endpoint.address(), 1, 2s);
     BOOST_REQUIRE(loop.runUntil([&] { return endpoint.requests().size() == 2; }, 5s));
     client.cancel(first);
--- a/src/libscheduler/command_window_test.cpp
+++ b/src/libscheduler/command_window_test.cpp
@@ -28,8 +28,8 @@
         TimePoint endsAt {};
     };
 
-    /// Load of the small twin of the large deployment: 81 VMs, and in the time of its queue 26 jobs a second with
-    /// 13 tasks each. The link of 2 Mbit/s carries a command of 1.7 KB in 6.8 ms.
+    /// Load of the small twin of the large deployment: 81 VMs, and in the time of its queue 26 jobs a second
+    /// with 13 tasks each. The link of 2 Mbit/s carries a command of 1.7 KB in 6.8 ms.
     static constexpr int vmCount = 81;
     static constexpr auto timePerCommand = 6800us;
     static constexpr auto taskTime = 800ms;
@@ -108,8 +108,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(command_window, NarrowLinkFixture)
 
-// On the large deployment's small twin, the holder of a pool at its peak got no response to two of three starts
-// within their timeout: its own link was full.
+// On the large deployment's small twin, the holder of a pool at its peak got no response to two of three
+// starts within their timeout: its own link was full.
 BOOST_AUTO_TEST_CASE(peakOverANarrowLinkTimesOutWithoutAWindow)
 {
     isLimited = false;
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -55,7 +55,8 @@
     if (isStandby(state, pool))
         return poolSize(state, pool);
     const auto load = state.loads.find(pool);
-    const bool hasBacklog = load != state.loads.end() && load->second.waitingCpu + load->second.overdueCpu > 0;
+    const bool hasBacklog
+        = load != state.loads.end() && load->second.waitingCpu + load->second.overdueCpu > 0;
     if (hasBacklog && !isUrgent)
         return 0;
     return std::max(1, static_cast<int>(std::floor(poolSize(state, pool) * limits.maxUnavailableShare)));
@@ -112,12 +113,12 @@
 {
     return json({ { "waitingCpu", load.waitingCpu }, { "waitingWork", load.waitingWork },
                     { "overdueCpu", load.overdueCpu }, { "overdueWork", load.overdueWork },
-                    { "overdueUsedCpu", load.overdueUsedCpu },
-                    { "arrivingCpu", load.arrivingCpu }, { "usedCpu", load.usedCpu },
-                    { "servingCpu", load.servingCpu }, { "waitingServingCpu", load.waitingServingCpu },
-                    { "minMachines", load.minMachines }, { "unfitCpu", load.unfitCpu },
-                    { "capacityCpu", load.capacityCpu }, { "workingMachines", load.workingMachines },
-                    { "runs", load.runs }, { "serving", load.serving }, { "empty", load.empty } })
+                    { "overdueUsedCpu", load.overdueUsedCpu }, { "arrivingCpu", load.arrivingCpu },
+                    { "usedCpu", load.usedCpu }, { "servingCpu", load.servingCpu },
+                    { "waitingServingCpu", load.waitingServingCpu }, { "minMachines", load.minMachines },
+                    { "unfitCpu", load.unfitCpu }, { "capacityCpu", load.capacityCpu },
+                    { "workingMachines", load.workingMachines }, { "runs", load.runs },
+                    { "serving", load.serving }, { "empty", load.empty } })
         .dump();
 }
 
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -148,7 +148,8 @@
     const auto batchCpu = load.usedCpu - load.servingCpu;
     const auto growth = batchCpu / 2;
     load.arrivingCpu = std::min(load.arrivingCpu, batchCpu);
-    load.waitingWork = load.waitingCpu > growth ? load.waitingWork * growth / load.waitingCpu : load.waitingWork;
+    load.waitingWork
+        = load.waitingCpu > growth ? load.waitingWork * growth / load.waitingCpu : load.waitingWork;
     load.waitingCpu = std::min(load.waitingCpu, growth);
     load.overdueCpu = load.overdueWork = 0;
 }
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -58,8 +58,8 @@
         waiting.urgency = Urgency::Serving;
         return;
     }
-    waiting.urgency = urgencyOf(earliestTimeliness(
-        job, waiting.occurrence, job.occurrences.at(waiting.occurrence), queue, wallNow));
+    waiting.urgency = urgencyOf(
+        earliestTimeliness(job, waiting.occurrence, job.occurrences.at(waiting.occurrence), queue, wallNow));
 }
 
 bool isWaiting(const JobEntry& job, const TaskState& task, bool recoveryComplete)
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -86,8 +86,8 @@
     BOOST_TEST(next[0].vm != vm);
 }
 
-// A holder whose link was full did not hear of its VMs for longer than their lease. Their tasks had ended, and
-// were started again elsewhere: the lease of a VM that runs nothing protects nothing.
+// A holder whose link was full did not hear of its VMs for longer than their lease. Their tasks had ended,
+// and were started again elsewhere: the lease of a VM that runs nothing protects nothing.
 BOOST_AUTO_TEST_CASE(endedTaskOfASilentRegisteredVmIsNotStartedAgain)
 {
     addVm("v1");
@@ -250,8 +250,8 @@
     BOOST_TEST(computeLoad(state, clock.now(), wallNow).unfitCpu == 0);
 }
 
-// Every node reads the rows of states and of machine tasks. A value of another type threw an exception that no one
-// caught, so one such row ended all nodes.
+// Every node reads the rows of states and of machine tasks. A value of another type threw an exception that
+// no one caught, so one such row ended all nodes.
 BOOST_AUTO_TEST_CASE(recordsWithValuesOfAnotherTypeAreReadAsMalformed)
 {
     BOOST_TEST((decodeState("{\"state\":3}") == JobState::Queued));
@@ -264,8 +264,8 @@
                           "\"attempts\":1,\"acceptedAt\":1}"));
 }
 
-// The VM of a moved machine is gone, but its registration remains for a second or more. Each start that it was given
-// in that time was lost.
+// The VM of a moved machine is gone, but its registration remains for a second or more. Each start that it
+// was given in that time was lost.
 BOOST_AUTO_TEST_CASE(vmGetsNoTasksAfterItsEvacuationBeforeItReports)
 {
     addVm("v1");
@@ -295,8 +295,8 @@
     BOOST_TEST(load.waitingWork == 2000);
 }
 
-// On the small twin of the large deployment a holder behind a narrow link drew 81 of 130 machines to its pool and
-// could use a fifth of them.
+// On the small twin of the large deployment a holder behind a narrow link drew 81 of 130 machines to its pool
+// and could use a fifth of them.
 BOOST_AUTO_TEST_CASE(poolWhoseStartsAreLimitedClaimsNoMachinesForItsBacklog)
 {
     addVm("v1", 4000);
