Record new and ended jobs first, and the others in turn

Cause: at a peak more jobs change than a transaction of 100 rows can hold. Ruled out: the window (commands took 34 to 60 ms, which allows 5,000 starts a second; 600 to 2,300 were sent). Change: jobsToRecord() orders them; a transaction that could not hold all is followed at once; a queued job has no state row, which every node would read. Conclusion: fleet_test/newJobsAreRecordedWhileManyOthersChange fails on the old order.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -130,6 +130,7 @@
     TimePoint m_startsUnlimitedAt {}; ///< when the window last left no task waiting
     int m_startsInFlight = 0;
     int m_stopsInFlight = 0;
+    std::uint64_t m_batchCount = 0; ///< transactions of progress so far
     std::set<std::string> m_jobsInTransaction; ///< jobs that the transaction in flight writes
     std::set<std::string> m_removedJobs; ///< removed jobs whose end the directory does not show yet
     std::map<std::string, std::string> m_evacuations; ///< task id by machine
--- a/src/include/damaskworks/pool_ledger.h
+++ b/src/include/damaskworks/pool_ledger.h
@@ -28,6 +28,7 @@
 struct LedgerBatch {
     std::vector<TableWrite> writes;
     std::set<std::string> jobs; ///< jobs whose progress is among the rows
+    bool isComplete = true; ///< false: a transaction could not hold all changes, so the next follows at once
     /// By VM: ends of runs that the rows written up to and including this batch record.
     std::map<std::string, DurableEnds> ends;
 };
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -86,6 +86,7 @@
     bool isRecovered = false; ///< an earlier holder may have started its tasks
     bool cancelled = false;
     bool dirty = false; ///< differs from its durable record
+    std::uint64_t lastBatch = 0; ///< number of the last transaction that wrote the record; 0: none
     std::optional<JobState> recorded; ///< state last written to its row; empty: write it again
     int nextOccurrence = 0; ///< first occurrence that is not due yet
     std::map<int, OccurrenceState> occurrences;
--- a/src/libfleet/job_progress.cpp
+++ b/src/libfleet/job_progress.cpp
@@ -1,6 +1,8 @@
 #include <damaskworks/job_directory.h>
 #include <damaskworks/job_progress.h>
 
+#include <algorithm>
+
 namespace damask::fleet {
 namespace {
 
@@ -12,7 +14,9 @@
 void appendProgress(JobEntry& job, std::vector<TableWrite>& writes)
 {
     const auto& id = job.spec.id;
-    if (job.recorded != job.state) {
+    // The job's own row shows it as queued, and every node reads the rows of states.
+    const bool isShownByItsRow = !job.recorded && job.state == JobState::Queued;
+    if (job.recorded != job.state && !isShownByItsRow) {
         writes.push_back({ std::string(jobTable), rows::stateKey(id), encodeState(job.state) });
         job.recorded = job.state;
     }
@@ -22,6 +26,21 @@
         writes.push_back({ std::string(progressTable), id, std::nullopt });
 }
 
+std::vector<JobEntry*> jobsToRecord(PoolState& state)
+{
+    std::vector<JobEntry*> jobs;
+    for (auto& [id, job] : state.jobs) {
+        if (job.dirty)
+            jobs.push_back(&job);
+    }
+    const auto rank = [](const JobEntry* job) {
+        return std::pair(job->hasRecord && !isFinal(job->state), job->lastBatch);
+    };
+    std::stable_sort(
+        jobs.begin(), jobs.end(), [&](const JobEntry* a, const JobEntry* b) { return rank(a) < rank(b); });
+    return jobs;
+}
+
 ProgressReader::ProgressReader(
     event_base* base, SharedTable& table, Metrics& metrics, std::string pool, Listener onRead)
     : m_table(table)
--- a/src/libfleet/job_progress_test.cpp
+++ b/src/libfleet/job_progress_test.cpp
@@ -55,6 +55,55 @@
     BOOST_TEST(writes.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(queuedJobWithoutStateRowNeedsNone)
+{
+    auto job = entry(JobState::Queued);
+    std::vector<TableWrite> writes;
+    appendProgress(job, writes);
+    BOOST_REQUIRE(writes.size() == 1u);
+    BOOST_TEST(writes[0].table == progressTable);
+}
+
+// At the peak of a turn on the large deployment, the jobs that came first by their ids changed faster than
+// they were recorded. The others had no record for seconds, and their starts were held back.
+BOOST_AUTO_TEST_CASE(newJobsAreRecordedWhileManyOthersChange)
+{
+    constexpr int jobs = 400;
+    constexpr int jobsPerTransaction = 49;
+    PoolState state;
+    const auto add = [&](const std::string& id) {
+        JobSpec spec;
+        spec.id = id;
+        spec.steps = { StepSpec {} };
+        addJob(state, std::move(spec), "", false);
+    };
+    for (int i = 0; i < jobs; ++i) {
+        const auto id = "job" + std::to_string(1000 + i);
+        add(id);
+        state.jobs.at(id).hasRecord = true;
+    }
+    std::map<std::string, int> recorded;
+    for (std::uint64_t batch = 1; batch <= 20; ++batch) {
+        for (auto& [id, job] : state.jobs)
+            job.dirty = true;
+        const auto newest = "z" + std::to_string(batch);
+        add(newest);
+        state.jobs.at(newest).dirty = true;
+        auto chosen = jobsToRecord(state);
+        BOOST_REQUIRE(chosen.size() > jobsPerTransaction);
+        chosen.resize(jobsPerTransaction);
+        BOOST_TEST(chosen.front()->spec.id == newest);
+        for (auto* job : chosen) {
+            job->dirty = false;
+            job->hasRecord = true;
+            job->lastBatch = batch;
+            ++recorded[job->spec.id];
+        }
+    }
+    for (const auto& [id, job] : state.jobs)
+        BOOST_TEST(recorded[id] >= 1);
+}
+
 BOOST_AUTO_TEST_CASE(progressReaderReadsAllPagesAndRetriesAfterFailure)
 {
     constexpr int jobs = 1203;
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -309,21 +309,20 @@
         m_pendingLoad.reset();
         batch.writes.push_back({ std::string(loadTable), std::string(loadKey), encodeLoad(m_publishedLoad) });
     }
-    bool isComplete = true;
-    for (auto& [id, job] : m_state.jobs) {
-        if (!job.dirty)
-            continue;
+    ++m_batchCount;
+    for (auto* job : jobsToRecord(m_state)) {
         if (batch.writes.size() + reservedEntries + maxWritesPerJob > maxTransactionEntries) {
-            isComplete = false;
+            batch.isComplete = false;
             break;
         }
-        appendProgress(job, batch.writes);
-        batch.jobs.insert(id);
-        m_jobsInTransaction.insert(id);
-        job.dirty = false;
+        appendProgress(*job, batch.writes);
+        batch.jobs.insert(job->spec.id);
+        m_jobsInTransaction.insert(job->spec.id);
+        job->dirty = false;
+        job->lastBatch = m_batchCount;
     }
     // Ends of runs are durable only once every job that they changed is written.
-    if (isComplete) {
+    if (batch.isComplete) {
         for (const auto& [name, vm] : m_state.vms) {
             if (vm.applied > vm.acknowledged)
                 batch.ends.emplace(name, DurableEnds { vm.bootTime, vm.applied });
--- a/src/libfleet/pool_ledger.cpp
+++ b/src/libfleet/pool_ledger.cpp
@@ -155,6 +155,8 @@
         [this, batch = std::move(batch)](TableResult<Version> result) {
             if (result) {
                 m_callbacks.committed(batch);
+                if (!batch.isComplete)
+                    m_dirtySince -= batchDelay;
                 return sendNext();
             }
             m_callbacks.failed(batch);
