Ask again at once after a response that may be truncated

Cause: a follower whose response may not have held all changes counts as behind, and a holder starts nothing then. The next request waited up to a second for a further change. Ruled out: the lease (valid), the window (23 ms response time), records (jobs ended throughout). Change: the next request follows without a pause and does not wait.

--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -197,9 +197,9 @@
             else if (!m_settings.confirmsChanges && !m_isBehind)
                 m_currentAsOf = sentAt;
             m_needsReload = m_settings.readsRowsWhenBehind && hasSupersededRows(*rows);
-            m_needsConfirmation = hasChanges && m_settings.confirmsChanges;
+            m_needsConfirmation = m_isBehind || (hasChanges && m_settings.confirmsChanges);
             applyChanges(*rows);
-            scheduleNext(hasChanges ? m_settings.pauseAfterChanges : milliseconds(0));
+            scheduleNext(hasChanges && !m_isBehind ? m_settings.pauseAfterChanges : milliseconds(0));
         });
 }
 
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -174,6 +174,24 @@
     BOOST_TEST(!isFresh(follower, clock.now(), 2000ms));
 }
 
+// On the large deployment hundreds of machines move within a second. The holder that followed them got 500
+// rows in one response, waited a second for the next change before it knew that there were no more, and
+// started nothing meanwhile.
+BOOST_FIXTURE_TEST_CASE(responseThatMayBeTruncatedIsFollowedAtOnceByARequestThatDoesNotWait, FollowerFixture)
+{
+    TableFollower follower(loop.base(), table, clock, metrics, { "servers", false, 5000ms }, 1);
+    listen(follower);
+    TableRows full { 500, {}, false };
+    for (Version version = 1; version <= 500; ++version)
+        full.rows.push_back({ "", "vm" + std::to_string(version), "{}", version });
+    table.respond(full);
+    BOOST_TEST(follower.isBehind());
+    BOOST_REQUIRE(loop.runUntil([this] { return bool(table.pending); }, 1s));
+    BOOST_TEST(table.followWait.count() == 0);
+    table.respond(TableRows { 500, {}, false });
+    BOOST_TEST(!follower.isBehind());
+}
+
 // A node that started while the table refused a part of its calls began its load again with the first row
 // each time, and never ended it.
 BOOST_FIXTURE_TEST_CASE(loadGoesOnWhereARequestFailed, FollowerFixture)
