Follow the VMs' registrations only on nodes that hold a lease

Cause: every node followed the table of VMs, which only holders and the machine coordinator use. Change: a process follows the registrations from its first lease on. A node that takes a lease loads them first, as it loads the records.

--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -60,6 +60,9 @@
     /// Called after each batch of control rows, which FleetRows and the election have already applied.
     void onControlRowsApplied();
     void onLeaseAcquired(const std::string& pool, const AcquiredLease& lease);
+    /// Follows the VMs' registrations from the first lease of this process on. Nodes without a lease need
+    /// none, and on a large fleet they change hundreds of times a second.
+    void followVms();
     /// Follows the pools' loads, as long as this node coordinates the machines.
     void followLoads();
     /// Calls begin() on the holders and the coordinator once the node has read the tables up to their
@@ -119,6 +122,7 @@
     SignalWatch m_onTerminate;
     SignalWatch m_onInterrupt;
     SignalWatch m_onHangup;
+    bool m_followsVms = false;
     bool m_wasReady = false;
     bool m_stopping = false;
     TimePoint m_stopStartedAt {};
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -81,7 +81,7 @@
           { m_adapter.codec->vmTable(), false, controlTablePause }, seed + 4)
     , m_election(loop.base(), *m_adapter.table, clock, m_settings.node, m_session,
           NodeCapacity { m_settings.cpuShare, m_settings.linkMbps }, seed + 5, m_leaseTiming,
-          { [this] { return canServe() && hasRecentContact(maxContactAgeToAcquire) && m_vmRows.isLoaded(); },
+          { [this] { return canServe() && hasRecentContact(maxContactAgeToAcquire); },
               [this] { return m_holders.size() + (m_coordinator ? 1 : 0); },
               [this](const std::string& pool, const AcquiredLease& lease) { onLeaseAcquired(pool, lease); } })
     , m_callerServer(loop.base(), {},
@@ -162,7 +162,7 @@
         });
     m_vmRows.setListeners([this](const std::vector<TableRow>& rows) { applyVmReset(rows); },
         [this](const TableRow& row) { applyVmRow(row); }, [this] { beginReadyHolders(); });
-    for (auto* follower : { &m_operatorRows, &m_controlRows, &m_jobRows, &m_vmRows })
+    for (auto* follower : { &m_operatorRows, &m_controlRows, &m_jobRows })
         follower->start();
 }
 
@@ -282,8 +282,17 @@
         removeVm(id);
 }
 
+void FleetNode::followVms()
+{
+    if (m_followsVms)
+        return;
+    m_followsVms = true;
+    m_vmRows.start();
+}
+
 void FleetNode::onLeaseAcquired(const std::string& pool, const AcquiredLease& lease)
 {
+    followVms();
     if (pool == coordinatorPool) {
         CoordinatorContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.machines,
             *m_adapter.codec, m_fleetRows };
