Begin to coordinate machines only once the VMs' registrations are loaded

Cause: since a node loads the registrations when it takes its first lease, and the machine coordinator could begin before that. On a takeover the load then showed it earlier VMs of machines as if they had just registered, and maintenance could count as finished. Change: as before, the coordinator begins only with registrations up to its lease. No test shows it: FleetNode has no unit tests.

--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -343,6 +343,7 @@
         holder->begin(*m_config, m_vms);
     }
     if (m_coordinator && !m_coordinator->hasBegun() && m_loadRows->isLoaded()
+        && m_vmRows.version() >= m_coordinator->acquiredVersion()
         && m_controlRows.version() >= m_coordinator->acquiredVersion())
         m_coordinator->begin(*m_config, m_waves);
 }
