--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -295,7 +295,7 @@
 } // namespace
 
 // A pool's holder opened a connection for each command that it had in flight at a VM: seven for a thousand
-// VMs, which is as many descriptors as it may have.
+// VMs, close to the descriptors that it may have.
 BOOST_FIXTURE_TEST_CASE(requestsBeyondTheConnectionLimitWaitAndAreAnswered, LimitedClientFixture)
 {
     RawEndpoint endpoint(
