Log why a run is released or adopted, and restarts of VMs

The log names listed ends only; a run that is released since its VM restarted, fell silent, rejected the start or does not list it leaves no line, nor does one that is adopted or stopped as unexpected. Ruled out: counting only; the order of events on one task is what tells. Change: PoolState::runEvents, written by the holder as task_run with event=; vm_back and the new vm_restarted name the boot. No change of logic.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -110,6 +110,7 @@
     void markDirtyIfNeeded();
     void publishLoad(TimePoint now);
     void logLoad(TimePoint now);
+    void logRunEvents();
 
     HolderContext m_context;
     PoolState m_state;
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -153,6 +153,32 @@
     double work = 0; ///< estimate for all its steps, in thousandths of a core times milliseconds
 };
 
+/// What the holder has concluded about a run, other than from a listed end.
+enum class RunEventKind {
+    NotListed, ///< released: the VM does not list it
+    VmRestarted, ///< released: the VM has restarted since
+    LeaseExpired, ///< released: the VM is silent or gone, and its lease has expired
+    StartRejected, ///< released: the VM rejected the start command, or did not receive it
+    Adopted, ///< started by an earlier holder and kept
+    Orphaned, ///< running without being expected; to be stopped
+};
+
+inline constexpr NameTable<RunEventKind, 6> runEventKindNames { {
+    { RunEventKind::NotListed, "not_listed" },
+    { RunEventKind::VmRestarted, "vm_restarted" },
+    { RunEventKind::LeaseExpired, "lease_expired" },
+    { RunEventKind::StartRejected, "start_rejected" },
+    { RunEventKind::Adopted, "adopted" },
+    { RunEventKind::Orphaned, "orphaned" },
+} };
+
+struct RunEvent {
+    std::string vm;
+    TaskId task;
+    std::uint32_t run = 0;
+    RunEventKind kind = RunEventKind::NotListed;
+};
+
 /// State of a pool.
 struct PoolState {
     std::string pool;
@@ -171,6 +197,7 @@
     /// VMs of the pool according to the platform; the registry may lack some of them for a while after an
     /// outage. Empty optional: the platform has not responded yet.
     std::optional<std::set<std::string>> platformVms;
+    std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
 };
 
 /// A command to stop a run.
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -246,6 +246,7 @@
         m_advisor.requestNext();
     }
     sendHeartbeats(now);
+    logRunEvents();
     removeEndedJobs();
     markDirtyIfNeeded();
     publishLoad(now);
@@ -281,6 +282,15 @@
     m_ledger.markDirty();
 }
 
+void PoolHolder::logRunEvents()
+{
+    for (const auto& event : m_state.runEvents)
+        logEvent(LogLevel::Info, "task_run",
+            { { "task", toString(event.task) }, { "run", std::to_string(event.run) }, { "vm", event.vm },
+                { "event", std::string(nameOf(runEventKindNames, event.kind)) } });
+    m_state.runEvents.clear();
+}
+
 void PoolHolder::logLoad(TimePoint now)
 {
     if (now - m_loadLoggedAt < loadLogInterval)
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -175,10 +175,12 @@
         heartbeatState.nextHeartbeatAt = now + heartbeatRetryDelay;
         return scheduleReconcile(heartbeatRetryDelay);
     }
-    if (vm.isUnresponsive)
-        logEvent(LogLevel::Info, "vm_back", { { "vm", name }, { "pool", m_state.pool } });
     const auto before = vm.applied;
     const bool isRebooted = vm.hasReported && vm.bootTime != report->bootTime;
+    if (vm.isUnresponsive || isRebooted)
+        logEvent(LogLevel::Info, isRebooted ? "vm_restarted" : "vm_back",
+            { { "vm", name }, { "pool", m_state.pool }, { "boot", std::to_string(report->bootTime) },
+                { "runs", std::to_string(vm.runs.size()) } });
     applyReport(m_state, name, *report, sentAt, now);
     if (isRebooted)
         heartbeatState.lastAckSent = 0;
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -165,6 +165,7 @@
     RunState run { vm.entry.id, report.run };
     run.createdAt = now;
     placeRun(state, vm, report.task, *task, run);
+    state.runEvents.push_back({ vm.entry.id, report.task, report.run, RunEventKind::Adopted });
     confirmRun(*task->run, report, now);
     markJobRunning(job->second);
 }
@@ -194,7 +195,7 @@
         const bool confirmed = run.confirmedAt != TimePoint {} && run.confirmedAt < sentAt;
         const bool stopConfirmed = run.stopConfirmedAt != TimePoint {} && run.stopConfirmedAt < sentAt;
         if (confirmed || stopConfirmed)
-            releaseRun(state, id, *task);
+            releaseRunAs(state, id, *task, RunEventKind::NotListed);
     }
 }
 
@@ -208,7 +209,7 @@
         return;
     auto& vm = found->second;
     if (vm.hasReported && vm.bootTime != report.bootTime) {
-        releaseAllRuns(state, vm);
+        releaseAllRuns(state, vm, RunEventKind::VmRestarted);
         vm.applied = vm.acknowledged = 0;
         vm.leaseUntil = milliseconds(0);
     }
@@ -232,6 +233,8 @@
     for (auto& [run, nextStopAt] : vm.orphanRuns) {
         if (const auto earlier = earlierOrphans.find(run); earlier != earlierOrphans.end())
             nextStopAt = earlier->second;
+        else
+            state.runEvents.push_back({ vm.entry.id, run.first, run.second, RunEventKind::Orphaned });
     }
     if (report.ended.size() < maxListedEnds)
         releaseMissing(state, vm, listed, sentAt);
@@ -290,7 +293,7 @@
     case CommandOutcome::Invalid:
         break;
     }
-    releaseRun(state, id, *task);
+    releaseRunAs(state, id, *task, RunEventKind::StartRejected);
 }
 
 void applyStopOutcome(PoolState& state, std::string_view name, const TaskId& id, std::uint32_t number,
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -150,12 +150,19 @@
         run.nextStopAt = now;
 }
 
-void releaseAllRuns(PoolState& state, VmState& vm)
+void releaseRunAs(PoolState& state, const TaskId& id, TaskState& task, RunEventKind kind)
+{
+    if (task.run)
+        state.runEvents.push_back({ task.run->vm, id, task.run->number, kind });
+    releaseRun(state, id, task);
+}
+
+void releaseAllRuns(PoolState& state, VmState& vm, RunEventKind kind)
 {
     const auto runs = vm.runs;
     for (const auto& id : runs) {
         if (auto* task = findTask(state, id))
-            releaseRun(state, id, *task);
+            releaseRunAs(state, id, *task, kind);
     }
     vm.orphanRuns.clear();
 }
@@ -228,7 +235,7 @@
         const bool mayHaveUnreportedEnds
             = vm.isRegistered && !isLeaseExpired(vm, state.limits, now - state.limits.silentVmGrace);
         if (vm.isUnresponsive && vm.hasReported && over && !mayHaveUnreportedEnds)
-            releaseAllRuns(state, vm);
+            releaseAllRuns(state, vm, RunEventKind::LeaseExpired);
         if (!vm.isRegistered && over && vm.runs.empty()) {
             it = state.vms.erase(it);
             continue;
--- a/src/libscheduler/pool_state_pvt.h
+++ b/src/libscheduler/pool_state_pvt.h
@@ -12,7 +12,9 @@
 void placeRun(PoolState& state, VmState& vm, const TaskId& id, TaskState& task, RunState run);
 /// Removes a run and frees its resources.
 void releaseRun(PoolState& state, const TaskId& id, TaskState& task);
+/// Records a RunEvent, then removes the run and frees its resources.
+void releaseRunAs(PoolState& state, const TaskId& id, TaskState& task, RunEventKind kind);
 /// Releases all runs on the VM and forgets its orphan runs.
-void releaseAllRuns(PoolState& state, VmState& vm);
+void releaseAllRuns(PoolState& state, VmState& vm, RunEventKind kind);
 
 } // namespace damask::fleet
