Keep runs that the next boot of a VM may run when it restarts under its id

Cause: at the first report of another boot time the holder released every run on the VM. A VM without runs gets no heartbeats, so it may have restarted under its id before a start command that its new boot accepted; that run was released, stopped as unexpected, and meanwhile started on another VM. A start without a response was released too, though the new boot may still carry it out, and so was one whose stop only the earlier boot had confirmed. Evidence: three tests of pool_state_test fail on (start on a second VM while the first run is listed or unresolved). Change: a restart releases only runs that were confirmed before the report was asked for and that it does not list; unconfirmed ones are stopped in the present boot first. Conclusion: the cause is certain in the code and fits the report; that it is the users' one isn't proved.

--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -182,9 +182,26 @@
     adoptRun(state, vm, report, now);
 }
 
+/// Handles the first report of another boot of the VM. Confirmations of stops came from the earlier boot; the
+/// present one may still carry out an unconfirmed start command, so it has to be stopped there too.
+void resetForRestart(PoolState& state, VmState& vm, TimePoint now)
+{
+    vm.orphanRuns.clear();
+    vm.applied = vm.acknowledged = 0;
+    vm.leaseUntil = milliseconds(0);
+    for (const auto& id : vm.runs) {
+        auto* task = findTask(state, id);
+        if (!task || !task->run || task->run->stopConfirmedAt == TimePoint {})
+            continue;
+        task->run->stopConfirmedAt = TimePoint {};
+        task->run->nextStopAt = now;
+    }
+}
+
 /// Releases runs that the VM does not list any more. Before the heartbeat was sent, it must have confirmed
 /// the run, or its stop, after which a delayed start command can no longer take effect.
-void releaseMissing(PoolState& state, VmState& vm, const std::set<TaskId>& listed, TimePoint sentAt)
+void releaseMissing(
+    PoolState& state, VmState& vm, const std::set<TaskId>& listed, TimePoint sentAt, RunEventKind kind)
 {
     const auto runs = vm.runs;
     for (const auto& id : runs) {
@@ -195,7 +212,7 @@
         const bool confirmed = run.confirmedAt != TimePoint {} && run.confirmedAt < sentAt;
         const bool stopConfirmed = run.stopConfirmedAt != TimePoint {} && run.stopConfirmedAt < sentAt;
         if (confirmed || stopConfirmed)
-            releaseRunAs(state, id, *task, RunEventKind::NotListed);
+            releaseRunAs(state, id, *task, kind);
     }
 }
 
@@ -208,11 +225,9 @@
     if (found == state.vms.end())
         return;
     auto& vm = found->second;
-    if (vm.hasReported && vm.bootTime != report.bootTime) {
-        releaseAllRuns(state, vm, RunEventKind::VmRestarted);
-        vm.applied = vm.acknowledged = 0;
-        vm.leaseUntil = milliseconds(0);
-    }
+    const bool isRestarted = vm.hasReported && vm.bootTime != report.bootTime;
+    if (isRestarted)
+        resetForRestart(state, vm, now);
     vm.bootTime = report.bootTime;
     vm.isUnresponsive = false;
     vm.hasReported = true;
@@ -237,7 +252,8 @@
             state.runEvents.push_back({ vm.entry.id, run.first, run.second, RunEventKind::Orphaned });
     }
     if (report.ended.size() < maxListedEnds)
-        releaseMissing(state, vm, listed, sentAt);
+        releaseMissing(
+            state, vm, listed, sentAt, isRestarted ? RunEventKind::VmRestarted : RunEventKind::NotListed);
 }
 
 namespace {
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -115,6 +115,74 @@
     BOOST_TEST(starts().size() == 1u);
 }
 
+// A VM without runs restarted under its id between two reports; the next start ran in the new boot.
+BOOST_AUTO_TEST_CASE(runOfARestartedVmIsNotStartedTwice)
+{
+    addVm("v1");
+    addVm("v2");
+    submit("j1", { makeStep(1) });
+    const auto first = startAndAccept();
+    BOOST_REQUIRE(first.size() == 1u);
+    advance(10ms);
+    report(first[0].vm, {}, 2);
+    BOOST_TEST(starts().empty());
+    BOOST_TEST(planStops(state, clock.now()).empty());
+    report(first[0].vm, { makeEnd(1, first[0]) }, 2);
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Completed));
+}
+
+// A start without a response was carried out by the VM's next boot, after the task had been started
+// elsewhere.
+BOOST_AUTO_TEST_CASE(unansweredStartIsStoppedInTheNextBootBeforeItsTaskStartsElsewhere)
+{
+    addVm("v1");
+    addVm("v2");
+    submit("j1", { makeStep(1) });
+    const auto first = starts();
+    BOOST_REQUIRE(first.size() == 1u);
+    const auto& command = first[0].command;
+    applyStartOutcome(state, first[0].vm, command.task, command.run, CommandOutcome::Unknown, clock.now());
+    advance(10ms);
+    reportEmpty(first[0].vm, 2);
+    BOOST_TEST(starts().empty());
+    const auto stops = planStops(state, clock.now());
+    BOOST_REQUIRE(stops.size() == 1u);
+    applyStopOutcome(state, stops[0].vm, stops[0].task, stops[0].run, CommandOutcome::Accepted, clock.now());
+    advance(10ms);
+    reportEmpty(first[0].vm, 2);
+    BOOST_TEST(starts().size() == 1u);
+}
+
+// The stop had been confirmed by the boot before, of which the next boot knows nothing.
+BOOST_AUTO_TEST_CASE(stopConfirmedByAnEarlierBootIsSentAgain)
+{
+    addVm("v1");
+    addVm("v2");
+    submit("j1", { makeStep(1) });
+    const auto first = starts();
+    BOOST_REQUIRE(first.size() == 1u);
+    const auto& command = first[0].command;
+    applyStartOutcome(state, first[0].vm, command.task, command.run, CommandOutcome::Unknown, clock.now());
+    BOOST_REQUIRE(planStops(state, clock.now()).size() == 1u);
+    applyStopOutcome(state, first[0].vm, command.task, command.run, CommandOutcome::Accepted, clock.now());
+    advance(10ms);
+    reportEmpty(first[0].vm, 2);
+    BOOST_TEST(starts().empty());
+    BOOST_TEST(planStops(state, clock.now()).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(confirmedRunEndsWithTheRestartOfItsVm)
+{
+    addVm("v1");
+    addVm("v2");
+    submit("j1", { makeStep(1) });
+    const auto first = startAndAccept();
+    report(first[0].vm);
+    advance(10ms);
+    reportEmpty(first[0].vm, 2);
+    BOOST_TEST(starts().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(unresponsiveVmIsPolledWithoutLeaseRenewal)
 {
     addVm("v1");
