Give up tasks that crash the VMs that start them

Cause: the holder counted ends that VMs list as failed only. A run that ends with its VM was released when the VM's lease or registration ended, and started on the next VM at once, without limit. Change: crash_attribution. A crash is counted for each run that may have caused it. Young ones become suspect: their next run begins with a trial, on a VM that has started nothing else lately and starts nothing else meanwhile, so that a crash in that time is theirs. Two such crashes fail the job. A task that outlives short trials gets long ones. Trials, and runs on VMs that have stopped responding, are in the durable record (trials before the start is sent), so a later holder counts what an earlier one saw begin. At most half of a pool's VMs are on trial or reserved for one. Ruled out: giving up after two crashes under a task: a crash ends 15 runs, and tasks of other jobs would be shown as failed without cause; charging every task on a VM that a cut has silenced: only VMs that are gone count.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -31,8 +31,16 @@
 struct RunState {
     std::string vm;
     std::uint32_t number = 0;
+    std::int64_t vmBootTime = 0; ///< VmState::bootTime when the run was placed
     RunPhase phase = RunPhase::Starting;
     TimePoint createdAt {}; ///< when this holder planned or adopted the run
+    TimePoint sentAt {}; ///< when this holder sent the start command or adopted the run; zero: not yet
+    bool isCrashAttributed = false; ///< the crash of its VM is counted in TaskState::crashes
+    milliseconds trial { 0 }; ///< length of the run's trial, see isOnTrial(); zero: none, or it has ended
+    bool isAtRisk = false; ///< its VM has stopped responding and may have crashed
+    /// JobEntry::committedBatch has to exceed this number before a run with a trial is started: a later
+    /// holder must learn of the trial.
+    std::uint64_t recordedAfterBatch = 0;
     TimePoint confirmedAt {}; ///< when the VM first confirmed the run; zero: not yet
     TimePoint stopConfirmedAt {}; ///< when the VM confirmed a stop; zero: not yet
     TimePoint nextStopAt {}; ///< when an unconfirmed stop command is sent again; max(): one is in flight
@@ -42,6 +50,14 @@
     int cpuLimitPercent = 100; ///< share of its CPU that the task may use
 };
 
+/// A run of which an earlier holder has recorded that its VM may crash: it was on trial or at risk.
+struct EarlierRun {
+    std::string vm;
+    std::int64_t vmBootTime = 0;
+    std::uint32_t number = 0;
+    bool isOnTrial = false;
+};
+
 /// State of one task.
 struct TaskState {
     bool done = false;
@@ -49,6 +65,10 @@
     std::uint32_t lastRun = 0;
     std::string checkpoint;
     std::optional<RunState> run;
+    int crashes = 0; ///< VMs that crashed while the task may have run on them
+    int trialCrashes = 0; ///< of these, those that crashed during the trial of its run
+    bool isSuspect = false; ///< may have caused a crash; its runs begin with a trial
+    std::optional<EarlierRun> earlierRun; ///< not yet known whether it ended with a crash of its VM
 };
 
 /// Permission of the advice service to run a step on a VM.
@@ -87,6 +107,8 @@
     bool cancelled = false;
     bool dirty = false; ///< differs from its durable record
     std::uint64_t lastBatch = 0; ///< number of the last transaction that wrote the record; 0: none
+    std::uint64_t committedBatch = 0; ///< number of the last such transaction that has committed
+    bool hasEarlierRuns = false; ///< some task may have a TaskState::earlierRun
     std::optional<JobState> recorded; ///< state last written to its row; empty: write it again
     int nextOccurrence = 0; ///< first occurrence that is not due yet
     std::map<int, OccurrenceState> occurrences;
@@ -119,6 +141,10 @@
     int distinctFailedJobs = 0; ///< jobs among these failures; a job that recurs after another counts again
     TimePoint quarantinedUntil {}; ///< the VM gets no new tasks before this time
     milliseconds quarantineTime { 0 }; ///< length of the last quarantine; zero: none since the last success
+    TimePoint lastContactAt {}; ///< last response to a command or heartbeat
+    TimePoint lastStartAt {}; ///< when the last start was planned or sent
+    std::optional<TaskId> trialTask; ///< task whose run is on trial; the VM gets no other starts
+    TimePoint reservedUntil {}; ///< the VM gets no starts before this time but those of suspect tasks
 };
 
 /// Limits of a pool's holder.
@@ -145,6 +171,11 @@
     /// move, registration), and the measured rate is that of the middle of the window.
     milliseconds forecastHorizon { 2400 };
     milliseconds preferredRackWait { 400 }; ///< how long a task waits for a VM in its preferred rack
+    milliseconds shortTrial { 250 }; ///< of a task that may have crashed one VM
+    /// Of a task that has outlived short trials and may have crashed several VMs nevertheless.
+    milliseconds longTrial { 10000 };
+    int crashesBeforeLongTrial = 2; ///< crashes outside of trials
+    int maxTrialCrashes = 2; ///< a task with as many is given up
 };
 
 /// A recently accepted job, for the arrival rate.
@@ -161,15 +192,21 @@
     StartRejected, ///< released: the VM rejected the start command, or did not receive it
     Adopted, ///< started by an earlier holder and kept
     Orphaned, ///< running without being expected; to be stopped
+    Crashed, ///< the VM crashed, perhaps by this run
+    CrashedOnTrial, ///< the VM crashed during the trial of this run
+    GivenUp, ///< the job has failed, since the task crashes the VMs that start it
 };
 
-inline constexpr NameTable<RunEventKind, 6> runEventKindNames { {
+inline constexpr NameTable<RunEventKind, 9> runEventKindNames { {
     { RunEventKind::NotListed, "not_listed" },
     { RunEventKind::VmRestarted, "vm_restarted" },
     { RunEventKind::LeaseExpired, "lease_expired" },
     { RunEventKind::StartRejected, "start_rejected" },
     { RunEventKind::Adopted, "adopted" },
     { RunEventKind::Orphaned, "orphaned" },
+    { RunEventKind::Crashed, "vm_crashed" },
+    { RunEventKind::CrashedOnTrial, "vm_crashed_on_trial" },
+    { RunEventKind::GivenUp, "given_up" },
 } };
 
 struct RunEvent {
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -354,6 +354,7 @@
         if (found == m_state.jobs.end())
             continue;
         found->second.hasRecord = true;
+        found->second.committedBatch = found->second.lastBatch;
         if (isFinal(found->second.state) && !found->second.dirty)
             recordJobEnd(found->second);
     }
--- /dev/null
+++ b/src/libscheduler/crash_attribution_pvt.h
@@ -0,0 +1,30 @@
+/// \file
+/// Attribution of VM crashes to tasks. A task may crash each VM that starts it. A crash ends all runs on the
+/// VM, so one crash alone does not show which of them caused it. Each task that may have caused one starts
+/// next on trial: for some time its VM gets no other starts, and a crash in that time is its own.
+#pragma once
+
+#include <damaskworks/pool_state.h>
+
+namespace damask::fleet {
+
+/// Length of the trial with which the next run of the task begins; zero if the task is not suspect.
+milliseconds trialLength(const TaskState& task, const PoolLimits& limits);
+/// Whether the trial of the run has not ended. It ends with the first response of the VM after its length.
+bool isOnTrial(const VmState& vm, const RunState& run);
+/// Ends the trials that are over, so that their VMs get other starts again.
+void endTrials(PoolState& state);
+/// Marks the runs of a VM that has stopped responding as at risk. A later holder then counts a crash of the
+/// VM, even if it takes over before the VM is back.
+void markAtRisk(PoolState& state, VmState& vm);
+/// Counts the crashes that ended runs of earlier holders. Requires that all VMs have reported that are to.
+void attributeEarlierCrashes(PoolState& state);
+/// Attributes the crash of a VM to its runs: to the run on trial, if there is one, else to all that may have
+/// caused it. Fails jobs whose task has crashed VMs in PoolLimits::maxTrialCrashes trials. Runs that \p
+/// survivors contains were started after the crash.
+void attributeCrash(PoolState& state, VmState& vm, const std::set<TaskId>& survivors);
+/// Clears the suspicion of a long-running task once its run has outlived the long trial.
+void clearSuspicion(
+    JobEntry& job, const StepSpec& step, TaskState& task, const PoolLimits& limits, TimePoint now);
+
+} // namespace damask::fleet
--- /dev/null
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -0,0 +1,345 @@
+/// \file
+/// Tests of how crashes of VMs are attributed to tasks, with a simulated pool whose tasks may crash their
+/// VMs.
+#include "pool_fixture_test.h"
+
+#include <damaskworks/start_gate.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace damask;
+using namespace damask::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// How the simulated VMs behave.
+struct Faults {
+    milliseconds crashDelay { 10 }; ///< from a deadly task's start to the crash
+    milliseconds downTime { 3000 };
+    bool keepsId = false; ///< a VM comes back under its id, else under a new one
+    bool isStartAnswered = true; ///< before the crash
+    double randomCrashes = 0; ///< probability of a crash of a VM in each step
+    milliseconds handOver { 0 }; ///< time between changes of the holder; zero: none
+};
+
+/// A pool with simulated VMs. A job whose id begins with "deadly" crashes each VM that starts its first task.
+class Simulation : public PoolFixture {
+public:
+    explicit Simulation(int vms, std::uint32_t seed, Faults faults = {})
+        : m_faults(faults)
+        , m_random(seed)
+    {
+        for (int i = 0; i < vms; ++i)
+            bootVm("v" + std::to_string(i));
+        m_handOverAt = clock.now() + faults.handOver;
+    }
+
+    void submitJob(const std::string& id, StepSpec step)
+    {
+        m_specs.emplace(id, makeJob(id, { step }));
+        submit(id, { std::move(step) });
+        commitRecords();
+    }
+
+    void run(milliseconds span)
+    {
+        for (const auto end = clock.now() + span; clock.now() < end; advance(10ms))
+            step();
+    }
+
+    JobState stateOf(const std::string& id)
+    {
+        const auto job = state.jobs.find(id);
+        return job == state.jobs.end() ? m_ended.at(id) : job->second.state;
+    }
+
+    std::map<TaskId, int> crashes;
+    std::map<TaskId, int> startsAfterThreeCrashes;
+    int doubleRuns = 0;
+    milliseconds runTime { 400 };
+
+private:
+    struct SimulatedRun {
+        std::uint32_t number = 0;
+        TimePoint endsAt {};
+        TimePoint crashesAt {}; ///< zero: never
+    };
+    struct SimulatedVm {
+        std::int64_t boot = 1;
+        std::map<TaskId, SimulatedRun> runs;
+        std::vector<EndReport> ended;
+        std::uint64_t lastEnd = 0;
+        TimePoint backAt {}; ///< while it is down
+        bool isUp = true;
+    };
+
+    static bool isDeadly(const TaskId& id) { return id.job.starts_with("deadly") && id.index == 0; }
+
+    void bootVm(const std::string& id)
+    {
+        m_vms[id] = {};
+        m_vms[id].boot = ++m_boots;
+        if (state.vms.contains(id))
+            return;
+        addVm(id, 16'000, "r1", false);
+        reportSimulated(id);
+    }
+
+    void reportSimulated(const std::string& id)
+    {
+        auto& vm = m_vms.at(id);
+        VmReport out;
+        out.vmClock = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch());
+        out.bootTime = vm.boot;
+        for (const auto& [task, run] : vm.runs)
+            out.running.push_back({ task, run.number, "", 50, 0 });
+        out.ended = vm.ended;
+        applyReport(state, id, out, clock.now(), clock.now());
+    }
+
+    void crash(const std::string& id)
+    {
+        auto& vm = m_vms.at(id);
+        for (const auto& [task, run] : vm.runs)
+            crashes[task] += isDeadly(task) && run.crashesAt != TimePoint {} && run.crashesAt <= clock.now();
+        vm = {};
+        vm.isUp = false;
+        vm.backAt = clock.now() + m_faults.downTime;
+        markUnresponsive(state, id);
+    }
+
+    void returnVm(const std::string& id)
+    {
+        if (m_faults.keepsId) {
+            bootVm(id);
+            return;
+        }
+        m_vms.erase(id);
+        // What the holder does when another VM responds at the address.
+        auto& vm = state.vms.at(id);
+        vm.isRegistered = false;
+        vm.isUnresponsive = true;
+        vm.leaseUntil = milliseconds(0);
+        bootVm("v" + std::to_string(100 + m_boots));
+    }
+
+    void stepVms()
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, vm] : m_vms)
+            names.push_back(name);
+        for (const auto& name : names) {
+            auto& vm = m_vms.at(name);
+            if (!vm.isUp) {
+                if (clock.now() >= vm.backAt)
+                    returnVm(name);
+                continue;
+            }
+            const bool crashes = std::any_of(vm.runs.begin(), vm.runs.end(), [&](const auto& entry) {
+                return entry.second.crashesAt != TimePoint {} && entry.second.crashesAt <= clock.now();
+            });
+            if (crashes || std::uniform_real_distribution<>(0, 1)(m_random) < m_faults.randomCrashes) {
+                crash(name);
+                continue;
+            }
+            for (auto it = vm.runs.begin(); it != vm.runs.end();) {
+                if (clock.now() < it->second.endsAt) {
+                    ++it;
+                    continue;
+                }
+                vm.ended.push_back({ ++vm.lastEnd, it->first, it->second.number, EndKind::Done, "" });
+                it = vm.runs.erase(it);
+            }
+            reportSimulated(name);
+        }
+    }
+
+    void startOn(const StartAction& start)
+    {
+        auto& vm = m_vms.at(start.vm);
+        const auto& task = start.command.task;
+        if (!vm.isUp) {
+            applyStartOutcome(
+                state, start.vm, task, start.command.run, CommandOutcome::Unreachable, clock.now());
+            return;
+        }
+        for (const auto& [name, other] : m_vms)
+            doubleRuns += other.isUp && other.runs.contains(task);
+        startsAfterThreeCrashes[task] += crashes[task] >= 3;
+        SimulatedRun run { start.command.run, clock.now() + runTime, TimePoint {} };
+        if (isDeadly(task))
+            run = { start.command.run, TimePoint::max(), clock.now() + m_faults.crashDelay };
+        vm.runs[task] = run;
+        const bool isAnswered = m_faults.isStartAnswered || !isDeadly(task);
+        applyStartOutcome(state, start.vm, task, start.command.run,
+            isAnswered ? CommandOutcome::Accepted : CommandOutcome::Unknown, clock.now());
+    }
+
+    void commitRecords()
+    {
+        for (auto& [id, job] : state.jobs) {
+            if (!job.dirty && job.hasRecord)
+                continue;
+            job.dirty = false;
+            job.hasRecord = true;
+            job.committedBatch = job.lastBatch = ++m_batches;
+            m_records[id] = encodeProgress(job);
+            if (isFinal(job.state))
+                m_ended[id] = job.state;
+        }
+    }
+
+    void handOver()
+    {
+        const auto records = m_records;
+        m_waiting.clear();
+        const auto limits = state.limits;
+        const auto term = state.term + 1;
+        const auto queues = state.queues;
+        state = PoolState {};
+        state.pool = "pricing";
+        state.limits = limits;
+        state.queues = queues;
+        state.term = term;
+        state.recoveryDeadline = clock.now() + 5s;
+        for (const auto& [id, record] : records)
+            addJob(state, m_specs.at(id), record, true);
+        state.platformVms.emplace();
+        for (const auto& [name, vm] : m_vms) {
+            addVm(name, 16'000, "r1", false);
+            if (!vm.isUp)
+                continue;
+            state.platformVms->insert(name);
+            reportSimulated(name);
+        }
+    }
+
+    void step()
+    {
+        stepVms();
+        if (m_faults.handOver.count() > 0 && clock.now() >= m_handOverAt) {
+            m_handOverAt = clock.now() + m_faults.handOver;
+            handOver();
+        }
+        expireLeases(state, clock.now());
+        for (const auto& stop : planStops(state, clock.now())) {
+            auto& vm = m_vms.at(stop.vm);
+            const auto outcome = vm.isUp ? CommandOutcome::Accepted : CommandOutcome::Unreachable;
+            applyStopOutcome(state, stop.vm, stop.task, stop.run, outcome, clock.now());
+            const auto found = vm.runs.find(stop.task);
+            if (!vm.isUp || found == vm.runs.end())
+                continue;
+            vm.ended.push_back({ ++vm.lastEnd, stop.task, found->second.number, EndKind::Stopped, "" });
+            vm.runs.erase(found);
+        }
+        auto planned = starts();
+        auto ready = takeReadyStarts(state, m_waiting, std::move(planned), clock.now());
+        commitRecords();
+        for (auto& start : takeReadyStarts(state, m_waiting, {}, clock.now()))
+            ready.push_back(std::move(start));
+        for (const auto& start : ready)
+            startOn(start);
+        std::erase_if(state.jobs, [&](const auto& entry) {
+            const bool isOver = isFinal(entry.second.state)
+                && std::none_of(state.vms.begin(), state.vms.end(), [&](const auto& vm) {
+                       return std::any_of(vm.second.runs.begin(), vm.second.runs.end(),
+                           [&](const TaskId& id) { return id.job == entry.first; });
+                   });
+            return isOver && !entry.second.dirty;
+        });
+    }
+
+    Faults m_faults;
+    std::mt19937 m_random;
+    std::map<std::string, SimulatedVm> m_vms;
+    std::map<std::string, JobSpec> m_specs;
+    std::map<std::string, JobState> m_ended;
+    std::map<std::string, std::string> m_records; ///< durable, by job
+    std::uint64_t m_batches = 0;
+    WaitingStarts m_waiting;
+    std::int64_t m_boots = 0;
+    TimePoint m_handOverAt {};
+};
+
+/// A queue's turn: jobs of eight tasks each, one in \p deadlyEvery of them with a task that crashes its VM.
+void submitPeak(Simulation& pool, int jobs, int deadlyEvery)
+{
+    for (int i = 0; i < jobs; ++i) {
+        const bool isDeadly = i % deadlyEvery == deadlyEvery / 2;
+        pool.submitJob((isDeadly ? "deadly" : "job") + std::to_string(i), PoolFixture::makeStep(8));
+        pool.run(100ms);
+    }
+}
+
+void checkOutcome(Simulation& pool, int jobs, int deadlyEvery)
+{
+    for (int i = 0; i < jobs; ++i) {
+        const bool isDeadly = i % deadlyEvery == deadlyEvery / 2;
+        const auto id = (isDeadly ? "deadly" : "job") + std::to_string(i);
+        BOOST_TEST_INFO(id);
+        BOOST_TEST((pool.stateOf(id) == (isDeadly ? JobState::Failed : JobState::Completed)));
+    }
+    for (const auto& [task, starts] : pool.startsAfterThreeCrashes) {
+        BOOST_TEST_INFO(toString(task));
+        BOOST_TEST(starts < 3);
+    }
+    BOOST_TEST(pool.doubleRuns == 0);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crash_attribution)
+
+BOOST_AUTO_TEST_CASE(taskThatCrashesItsVmsIsGivenUp)
+{
+    for (const bool keepsId : { false, true }) {
+        for (const bool isStartAnswered : { false, true }) {
+            Simulation pool(9, 1, { .keepsId = keepsId, .isStartAnswered = isStartAnswered });
+            submitPeak(pool, 60, 15);
+            pool.run(30s);
+            checkOutcome(pool, 60, 15);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(manyTasksThatCrashTheirVmsAreGivenUpWithoutInnocentOnes)
+{
+    Simulation pool(9, 2);
+    submitPeak(pool, 60, 3);
+    pool.run(180s);
+    checkOutcome(pool, 60, 3);
+}
+
+BOOST_AUTO_TEST_CASE(taskThatCrashesItsVmAfterItsShortTrialIsGivenUp)
+{
+    Simulation pool(9, 3, { .crashDelay = 700ms });
+    submitPeak(pool, 60, 15);
+    pool.run(60s);
+    checkOutcome(pool, 60, 15);
+}
+
+BOOST_AUTO_TEST_CASE(jobsAreNotFailedByCrashesOfOtherCauses)
+{
+    for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+        Simulation pool(9, seed, { .randomCrashes = 0.0005 });
+        submitPeak(pool, 60, 1000);
+        pool.run(40s);
+        checkOutcome(pool, 60, 1000);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(crashesAreCountedAcrossHandOvers)
+{
+    for (const milliseconds handOver : { 2s, 3s, 4s, 5s, 7s }) {
+        Simulation pool(9, 4, { .handOver = handOver });
+        submitPeak(pool, 60, 15);
+        pool.run(120s);
+        checkOutcome(pool, 60, 15);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -8,12 +8,17 @@
 namespace damask::fleet {
 namespace {
 
-bool acceptsWork(const VmState& vm, TimePoint now)
+bool isAvailable(const VmState& vm, TimePoint now)
 {
     return vm.isRegistered && vm.hasReported && !vm.isUnresponsive && !vm.entry.draining && !vm.isEvacuating
         && vm.orphanRuns.empty() && now >= vm.quarantinedUntil;
 }
 
+bool acceptsWork(const VmState& vm, TimePoint now)
+{
+    return isAvailable(vm, now) && !vm.trialTask && now >= vm.reservedUntil;
+}
+
 bool hasLabel(const VmState& vm, const std::string& label)
 {
     return label.empty()
@@ -54,14 +59,19 @@
     return job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].advice;
 }
 
-/// Whether the VM accepts work and has room for one more task of the step.
-bool canHost(const VmState& vm, const StepSpec& step, const TaskId& id, TimePoint now)
+/// Whether the VM has room for one more task of the step and may run it.
+bool suits(const VmState& vm, const StepSpec& step, const TaskId& id)
 {
-    return acceptsWork(vm, now) && hasLabel(vm, step.requiredLabel)
-        && fits(reservedBy(step), freeResources(vm))
+    return hasLabel(vm, step.requiredLabel) && fits(reservedBy(step), freeResources(vm))
         && (step.maxPerVm == 0 || countSiblings(vm, id) < step.maxPerVm);
 }
 
+/// Whether the VM accepts work and suits the task.
+bool canHost(const VmState& vm, const StepSpec& step, const TaskId& id, TimePoint now)
+{
+    return acceptsWork(vm, now) && suits(vm, step, id);
+}
+
 /// Number of runs on the VM that should not share it with a task of the step: fillers and tasks with a
 /// latency target should not share a VM.
 int countConflicts(const PoolState& state, const VmState& vm, const StepSpec& step)
@@ -118,6 +128,55 @@
 
 } // namespace
 
+namespace {
+
+/// Whether the VM has started nothing lately and is about to start nothing, so that a crash after the next
+/// start is due to that start.
+bool isQuiet(PoolState& state, const VmState& vm, TimePoint now)
+{
+    if (now - vm.lastStartAt < state.limits.shortTrial)
+        return false;
+    return std::none_of(vm.runs.begin(), vm.runs.end(), [&](const TaskId& id) {
+        const auto* task = findTask(state, id);
+        return task && task->run && task->run->sentAt == TimePoint {};
+    });
+}
+
+} // namespace
+
+VmState* chooseTrialVm(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    const auto& step = stepOf(job, id.step);
+    const bool requiresTicket = needsTicket(state, job);
+    int available = 0;
+    int taken = 0;
+    VmState* quiet = nullptr;
+    VmState* next = nullptr;
+    for (auto& [name, vm] : state.vms) {
+        if (!isAvailable(vm, now))
+            continue;
+        ++available;
+        const bool isReserved = now < vm.reservedUntil;
+        taken += vm.trialTask || isReserved;
+        if (vm.trialTask || !suits(vm, step, id)
+            || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
+            continue;
+        if (isQuiet(state, vm, now)) {
+            // A crash ends few other runs on a VM with few of them.
+            if (!quiet || vm.runs.size() < quiet->runs.size())
+                quiet = &vm;
+        } else if (!isReserved && (!next || vm.lastStartAt < next->lastStartAt)) {
+            next = &vm;
+        }
+    }
+    const bool mayTakeAnother = taken < std::max(1, available / 2);
+    if (quiet && (mayTakeAnother || now < quiet->reservedUntil))
+        return quiet;
+    if (next && mayTakeAnother)
+        next->reservedUntil = now + state.limits.shortTrial * 2;
+    return nullptr;
+}
+
 VmState* chooseVm(PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now)
 {
     const auto& step = stepOf(job, id.step);
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -11,6 +11,10 @@
 VmState* chooseVm(
     PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now);
 
+/// VM on which a suspect task should start its trial now; nullptr if it has to wait. Reserves a VM for
+/// suspect tasks if none is quiet; at most half of the available VMs are reserved or have a trial.
+VmState* chooseTrialVm(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now);
+
 /// Whether the job's tasks may run only on VMs with a ticket of the advice service.
 bool needsTicket(const PoolState& state, const JobEntry& job);
 /// At most \p limit VMs that have room for the task and neither a valid ticket nor a denial for its step,
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -1,6 +1,7 @@
 #include <damaskworks/job_timing.h>
 #include <damaskworks/pool_plan.h>
 
+#include "crash_attribution_pvt.h"
 #include "placement_choice_pvt.h"
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
@@ -102,7 +103,16 @@
     std::uint32_t number, const std::string& checkpoint, TimePoint now)
 {
     RunState run { vm.entry.id, number };
+    run.vmBootTime = vm.bootTime;
     run.createdAt = now;
+    run.trial = trialLength(task, state.limits);
+    if (run.trial.count() > 0) {
+        run.recordedAfterBatch = job.lastBatch;
+        job.dirty = true;
+        vm.trialTask = id;
+        vm.reservedUntil = TimePoint {};
+    }
+    vm.lastStartAt = now;
     placeRun(state, vm, id, task, run);
     if (job.firstStartAt == TimePoint {})
         job.firstStartAt = now;
@@ -156,7 +166,12 @@
         if (out.size() >= maxStarts)
             return;
         const TaskId id { job.spec.id, waiting.occurrence, waiting.step, static_cast<int>(i) };
-        auto* vm = chooseVm(state, job, id, waited, now);
+        auto* vm
+            = task.isSuspect ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
+        if (!vm && task.isSuspect) {
+            recordMissingTicket(state, waiting);
+            continue;
+        }
         if (!vm) {
             if (isUnconstrained(state, job, stepOf(job, waiting.step)))
                 failed.needs.push_back(reservedBy(stepOf(job, waiting.step)));
@@ -185,7 +200,8 @@
     std::vector<StartAction> starts;
     TaskId id { job.spec.id, waiting.occurrence, waiting.step, 0 };
     for (auto& task : step.tasks) {
-        auto* vm = chooseVm(state, job, id, waited, now);
+        auto* vm
+            = task.isSuspect ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
         if (!vm)
             break;
         starts.push_back(startRun(state, job, id, task, *vm, number, checkpoint, now));
@@ -219,6 +235,9 @@
 std::vector<StartAction> planStarts(PoolState& state, TimePoint now, WallTime wallNow, int maxStarts)
 {
     const bool recoveryComplete = isRecoveryComplete(state, now);
+    endTrials(state);
+    if (recoveryComplete)
+        attributeEarlierCrashes(state);
     std::vector<WaitingStep> waiting;
     for (auto& [id, job] : state.jobs) {
         if (isFinal(job.state))
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Applies reports of VMs and outcomes of commands to the state of a pool, and plans stop commands.
+#include "crash_attribution_pvt.h"
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
 
@@ -163,7 +164,11 @@
         return;
     }
     RunState run { vm.entry.id, report.run };
-    run.createdAt = now;
+    run.vmBootTime = vm.bootTime;
+    run.createdAt = run.sentAt = now;
+    run.trial = trialLength(*task, state.limits);
+    if (run.trial.count() > 0)
+        vm.trialTask = report.task;
     placeRun(state, vm, report.task, *task, run);
     state.runEvents.push_back({ vm.entry.id, report.task, report.run, RunEventKind::Adopted });
     confirmRun(*task->run, report, now);
@@ -176,7 +181,9 @@
     if (task && !report.checkpoint.empty() && !task->done)
         task->checkpoint = report.checkpoint;
     if (task && task->run && task->run->vm == vm.entry.id && task->run->number == report.run) {
-        markJobRunning(state.jobs.find(report.task.job)->second);
+        auto& job = state.jobs.find(report.task.job)->second;
+        markJobRunning(job);
+        clearSuspicion(job, stepOf(job, report.task.step), *task, state.limits, now);
         return confirmRun(*task->run, report, now);
     }
     adoptRun(state, vm, report, now);
@@ -226,13 +233,21 @@
         return;
     auto& vm = found->second;
     const bool isRestarted = vm.hasReported && vm.bootTime != report.bootTime;
-    if (isRestarted)
+    if (isRestarted) {
+        std::set<TaskId> survivors;
+        for (const auto& run : report.running)
+            survivors.insert(run.task);
+        for (const auto& end : report.ended)
+            survivors.insert(end.task);
+        attributeCrash(state, vm, survivors);
         resetForRestart(state, vm, now);
+    }
     vm.bootTime = report.bootTime;
     vm.isUnresponsive = false;
     vm.hasReported = true;
     vm.reportedClock = report.vmClock;
     vm.clockReportedAt = now;
+    vm.lastContactAt = now;
     for (const auto& end : report.ended) {
         if (end.number <= vm.applied)
             continue;
@@ -277,6 +292,9 @@
         || task->run->number != number)
         return;
     auto& run = *task->run;
+    if (outcome != CommandOutcome::Unknown && outcome != CommandOutcome::Unreachable
+        && outcome != CommandOutcome::WrongVm)
+        found->second.lastContactAt = now;
     switch (outcome) {
     case CommandOutcome::Accepted:
         if (run.phase == RunPhase::Starting) {
@@ -287,6 +305,7 @@
         return;
     case CommandOutcome::Unknown:
         found->second.isUnresponsive = true;
+        markAtRisk(state, found->second);
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Unknown;
         if (run.nextStopAt != TimePoint::max())
@@ -297,6 +316,7 @@
         break;
     case CommandOutcome::Unreachable:
         found->second.isUnresponsive = true;
+        markAtRisk(state, found->second);
         break;
     case CommandOutcome::InvalidTicket:
         forgetTicket(state, id, name);
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -1,5 +1,6 @@
 #include <damaskworks/pool_state.h>
 
+#include "crash_attribution_pvt.h"
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
 
@@ -193,8 +194,10 @@
 void markUnresponsive(PoolState& state, std::string_view vm)
 {
     auto found = state.vms.find(vm);
-    if (found != state.vms.end())
-        found->second.isUnresponsive = true;
+    if (found == state.vms.end())
+        return;
+    found->second.isUnresponsive = true;
+    markAtRisk(state, found->second);
 }
 
 milliseconds extendLease(VmState& vm, const PoolLimits& limits, TimePoint now)
@@ -213,7 +216,7 @@
         return command;
     command.leaseUntil = extendLease(vm, limits, now);
     if (vm.orphanRuns.empty())
-        command.wait = limits.maxHeartbeatWait;
+        command.wait = vm.trialTask ? limits.shortTrial : limits.maxHeartbeatWait;
     return command;
 }
 
@@ -234,8 +237,11 @@
             = vm.hasReported ? isLeaseExpired(vm, state.limits, now) : now >= state.recoveryDeadline;
         const bool mayHaveUnreportedEnds
             = vm.isRegistered && !isLeaseExpired(vm, state.limits, now - state.limits.silentVmGrace);
-        if (vm.isUnresponsive && vm.hasReported && over && !mayHaveUnreportedEnds)
+        if (vm.isUnresponsive && vm.hasReported && over && !mayHaveUnreportedEnds) {
+            if (!vm.isRegistered)
+                attributeCrash(state, vm, {});
             releaseAllRuns(state, vm, RunEventKind::LeaseExpired);
+        }
         if (!vm.isRegistered && over && vm.runs.empty()) {
             it = state.vms.erase(it);
             continue;
--- a/src/libscheduler/progress.cpp
+++ b/src/libscheduler/progress.cpp
@@ -38,11 +38,24 @@
     }
 }
 
+/// The run with which the task may crash its VM, if a later holder has to know of it.
+std::optional<EarlierRun> runAtRisk(const TaskState& task)
+{
+    if (task.done || !task.run)
+        return task.done ? std::nullopt : task.earlierRun;
+    const auto& run = *task.run;
+    if (run.isCrashAttributed || (run.trial.count() == 0 && !run.isAtRisk))
+        return std::nullopt;
+    return EarlierRun { run.vm, run.vmBootTime, run.number, run.trial.count() > 0 };
+}
+
 json encodeOccurrence(int number, const OccurrenceState& occurrence)
 {
     json done = json::array();
     json failed = json::array();
     json saved = json::array();
+    json crashes = json::array();
+    json atRisk = json::array();
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         const auto& step = occurrence.steps[s];
         done.push_back(encodeDoneBits(step));
@@ -52,6 +65,10 @@
                 failed.push_back({ s, i, task.failedRuns });
             if (!task.done && !task.checkpoint.empty())
                 saved.push_back({ s, i, task.checkpoint });
+            if (!task.done && task.crashes > 0)
+                crashes.push_back({ s, i, task.crashes, task.trialCrashes, task.isSuspect });
+            if (const auto run = runAtRisk(task))
+                atRisk.push_back({ s, i, run->number, run->vm, run->vmBootTime, run->isOnTrial });
         }
     }
     json out = { { "number", number }, { "done", done } };
@@ -59,6 +76,10 @@
         out["failed"] = failed;
     if (!saved.empty())
         out["saved"] = saved;
+    if (!crashes.empty())
+        out["crashes"] = crashes;
+    if (!atRisk.empty())
+        out["atRisk"] = atRisk;
     return out;
 }
 
@@ -93,6 +114,19 @@
         if (auto* task = taskAt(occurrence, entry))
             task->checkpoint = entry.at(2).get<std::string>();
     }
+    for (const auto& entry : value.value("crashes", json::array())) {
+        auto* task = taskAt(occurrence, entry);
+        if (!task)
+            continue;
+        task->crashes = entry.at(2).get<int>();
+        task->trialCrashes = entry.at(3).get<int>();
+        task->isSuspect = entry.at(4).get<bool>();
+    }
+    for (const auto& entry : value.value("atRisk", json::array())) {
+        if (auto* task = taskAt(occurrence, entry))
+            task->earlierRun = { entry.at(3).get<std::string>(), entry.at(4).get<std::int64_t>(),
+                entry.at(2).get<std::uint32_t>(), entry.at(5).get<bool>() };
+    }
 }
 
 } // namespace
@@ -127,6 +161,7 @@
     try {
         for (const auto& entry : value.value("occurrences", json::array()))
             decodeOccurrence(openOccurrence(job, entry.at("number").get<int>()), entry);
+        job.hasEarlierRuns = true;
     } catch (const json::exception&) {
         return false;
     }
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -5,17 +5,26 @@
 namespace damask::fleet {
 namespace {
 
+/// Whether the start must wait for a durable record of the run's trial.
+bool waitsForRecord(PoolState& state, const JobEntry& job, const StartAction& start)
+{
+    const auto* task = findTask(state, start.command.task);
+    return task && task->run && task->run->number == start.command.run && task->run->trial.count() > 0
+        && job.committedBatch <= task->run->recordedAfterBatch;
+}
+
 /// Fills the spec and a fresh lease into the start command. Returns false if the run is no longer to be
 /// started.
 bool prepareCommand(PoolState& state, StartAction& start, TimePoint now)
 {
-    const auto* task = findTask(state, start.command.task);
+    auto* task = findTask(state, start.command.task);
     const auto vm = state.vms.find(start.vm);
     if (!task || !task->run || vm == state.vms.end() || task->run->vm != start.vm
         || task->run->number != start.command.run || task->run->phase != RunPhase::Starting)
         return false;
     start.command.spec = state.jobs.find(start.command.task.job)->second.spec.spec;
     start.command.leaseUntil = extendLease(vm->second, state.limits, now);
+    task->run->sentAt = vm->second.lastStartAt = now;
     return true;
 }
 
@@ -33,11 +42,15 @@
             ++it;
             continue;
         }
+        std::vector<StartAction> held;
         for (auto& start : it->second) {
-            if (prepareCommand(state, start, now))
+            if (job != state.jobs.end() && waitsForRecord(state, job->second, start))
+                held.push_back(std::move(start));
+            else if (prepareCommand(state, start, now))
                 out.push_back(std::move(start));
         }
-        it = waiting.erase(it);
+        it->second = std::move(held);
+        it = it->second.empty() ? waiting.erase(it) : std::next(it);
     }
     return out;
 }
