Test that trials are recorded first and that nothing starts beside them

Cause: two mutations of crash attribution were caught by no test: a trial's start sent before its record, and a trial on a VM that has just started other tasks. Change: a test of each, seen to fail with the mutation. A restarted VM counts as quiet: its earlier starts ended with it. The fixture notes when accepted starts were sent. Ruled out: the simulation alone; a crash 10 ms after the start hides both. Conclusion: each part of the attribution has a test that fails without it.

--- a/src/libscheduler/crash_attribution_test.cpp
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -342,4 +342,54 @@
     }
 }
 
+// The holder was lost during a trial, of which the next one knew nothing.
+BOOST_FIXTURE_TEST_CASE(trialIsRecordedBeforeItsStartIsSent, PoolFixture)
+{
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    auto& job = state.jobs.at("j1");
+    job.hasRecord = true;
+    auto& suspect = *findTask(state, { "j1", 0, 0, 0 });
+    suspect.isSuspect = true;
+    suspect.crashes = 1;
+    WaitingStarts waiting;
+    job.lastBatch = 7;
+    BOOST_TEST(takeReadyStarts(state, waiting, starts(), clock.now()).empty());
+    BOOST_TEST(job.dirty);
+    job.committedBatch = 7; // of a transaction that was under way before
+    BOOST_TEST(takeReadyStarts(state, waiting, {}, clock.now()).empty());
+    job.committedBatch = job.lastBatch = 8;
+    BOOST_TEST(takeReadyStarts(state, waiting, {}, clock.now()).size() == 1u);
+}
+
+// A crash was attributed to a task that another task had been started beside.
+BOOST_FIXTURE_TEST_CASE(nothingElseStartsAroundATrial, PoolFixture)
+{
+    addVm("v1");
+    submit("a", { makeStep(1) });
+    startAndAccept();
+    submit("b", { makeStep(1) });
+    auto& suspect = *findTask(state, { "b", 0, 0, 0 });
+    suspect.isSuspect = true;
+    suspect.crashes = 1;
+    advance(10ms);
+    BOOST_TEST(starts().empty()); // the VM has just started another task
+    submit("c", { makeStep(1) });
+    BOOST_TEST(starts().empty()); // it is reserved
+    advance(state.limits.shortTrial);
+    report("v1");
+    state.jobs.at("b").hasRecord = true;
+    WaitingStarts waiting;
+    auto trial = starts();
+    BOOST_REQUIRE(trial.size() == 1u);
+    BOOST_TEST(trial[0].command.task.job == "b");
+    state.jobs.at("b").committedBatch = 1;
+    BOOST_TEST(takeReadyStarts(state, waiting, std::move(trial), clock.now()).size() == 1u);
+    applyStartOutcome(state, "v1", { "b", 0, 0, 0 }, 1, CommandOutcome::Accepted, clock.now());
+    advance(state.limits.shortTrial);
+    BOOST_TEST(starts().empty()); // the VM has not responded since the trial's end
+    report("v1");
+    BOOST_TEST(starts().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/pool_fixture_test.h
+++ b/src/libscheduler/pool_fixture_test.h
@@ -85,9 +85,11 @@
     std::vector<StartAction> startAndAccept()
     {
         auto out = starts();
-        for (const auto& start : out)
+        for (const auto& start : out) {
+            findTask(state, start.command.task)->run->sentAt = clock.now();
             applyStartOutcome(state, start.vm, start.command.task, start.command.run,
                 CommandOutcome::Accepted, clock.now());
+        }
         return out;
     }
 
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -196,6 +196,7 @@
     vm.orphanRuns.clear();
     vm.applied = vm.acknowledged = 0;
     vm.leaseUntil = milliseconds(0);
+    vm.lastStartAt = TimePoint {};
     for (const auto& id : vm.runs) {
         auto* task = findTask(state, id);
         if (!task || !task->run || task->run->stopConfirmedAt == TimePoint {})
