Test planning on VMs whose capacity shrank and grew again

Cause: a VM's capacity may shrink and grow again while it runs, and its registration shows it. No test showed that planStarts() respects it. Ruled out: a fault in planning. Capacity is read from the last registration at each planning; runs being stopped and unconfirmed starts stay in VmState::used until their end is known. Change: six tests and a fixture function. No product code. Conclusion: planStarts() needs no change.

--- a/src/libscheduler/pool_fixture_test.h
+++ b/src/libscheduler/pool_fixture_test.h
@@ -43,6 +43,14 @@
             report(id);
     }
 
+    /// Changes the capacity in the registration of a VM.
+    void setCapacity(const std::string& id, const Resources& capacity)
+    {
+        auto entry = state.vms.at(id).entry;
+        entry.capacity = capacity;
+        listVm(state, entry);
+    }
+
     static StepSpec makeStep(int count, std::int64_t cpu = 1000)
     {
         StepSpec out;
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -43,6 +43,102 @@
     BOOST_TEST(next[0].command.run == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(nothingStartsOnAVmWhoseCapacityShrankUntilItHasGrownAgain)
+{
+    addVm("v1", 4000);
+    submit("j1", { makeStep(4) });
+    const auto first = startAndAccept();
+    BOOST_REQUIRE(first.size() == 4u);
+    setCapacity("v1", { 2000, 32'000, 0 });
+    submit("j2", { makeStep(4) });
+    BOOST_TEST(startAndAccept().empty());
+    // Two of the four runs end, which only makes up for the capacity that is gone.
+    report("v1", { makeEnd(1, first[0]), makeEnd(2, first[1]) });
+    BOOST_TEST(startAndAccept().empty());
+    report("v1", { makeEnd(3, first[2]) });
+    BOOST_TEST(startAndAccept().size() == 1u);
+    setCapacity("v1", { 4000, 32'000, 0 });
+    BOOST_TEST(startAndAccept().size() == 2u);
+    BOOST_TEST(startAndAccept().empty());
+}
+
+BOOST_AUTO_TEST_CASE(memoryThatShrankBelowWhatIsUsedIsNotOvercommitted)
+{
+    addVm("v1", 4000);
+    submit("j1", { makeStep(2) });
+    BOOST_REQUIRE(startAndAccept().size() == 2u);
+    setCapacity("v1", { 4000, 199, 0 });
+    submit("j2", { makeStep(1) });
+    BOOST_TEST(startAndAccept().empty());
+    setCapacity("v1", { 4000, 300, 0 });
+    BOOST_TEST(startAndAccept().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(runsBeingStoppedCountOnAVmWhoseCapacityShrank)
+{
+    addVm("v1", 2000);
+    submit("j1", { makeStep(1) });
+    submit("j2", { makeStep(1) });
+    const auto first = startAndAccept();
+    BOOST_REQUIRE(first.size() == 2u);
+    cancelJob(state, "j1");
+    setCapacity("v1", { 1000, 32'000, 0 });
+    submit("j3", { makeStep(1) });
+    const auto stops = planStops(state, clock.now());
+    BOOST_REQUIRE(stops.size() == 1u);
+    applyStopOutcome(state, "v1", stops[0].task, stops[0].run, CommandOutcome::Accepted, clock.now());
+    BOOST_TEST(startAndAccept().empty());
+    // The other run ends; the one being stopped fills the VM alone.
+    report("v1", { makeEnd(1, first[1]) });
+    BOOST_TEST(startAndAccept().empty());
+    report("v1", { makeEnd(2, first[0], EndKind::Stopped) });
+    BOOST_TEST(startAndAccept().size() == 1u);
+}
+
+// A run that may still be carried out keeps its room too.
+BOOST_AUTO_TEST_CASE(unconfirmedStartsCountOnAVmWhoseCapacityShrank)
+{
+    addVm("v1", 2000);
+    submit("j1", { makeStep(1) });
+    const auto first = starts();
+    BOOST_REQUIRE(first.size() == 1u);
+    applyStartOutcome(
+        state, "v1", first[0].command.task, first[0].command.run, CommandOutcome::Unknown, clock.now());
+    report("v1");
+    setCapacity("v1", { 1000, 32'000, 0 });
+    submit("j2", { makeStep(1) });
+    BOOST_TEST(starts().empty());
+    setCapacity("v1", { 2000, 32'000, 0 });
+    BOOST_TEST(starts().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(smallerCapacityInARegistrationTakesEffectAtTheNextPlanning)
+{
+    addVm("v1", 4000);
+    submit("j1", { makeStep(2) });
+    BOOST_REQUIRE(planStarts(state, clock.now(), wallNow, 1).size() == 1u);
+    setCapacity("v1", { 1000, 32'000, 0 });
+    BOOST_TEST(starts().empty());
+    addVm("v2", 1000);
+    const auto next = starts();
+    BOOST_REQUIRE(next.size() == 1u);
+    BOOST_TEST(next[0].vm == "v2");
+}
+
+// Of each gang all members are placed or none; the shrunken room is not enough for all.
+BOOST_AUTO_TEST_CASE(gangIsNotStartedOnTheRoomThatAVmHadBeforeItShrank)
+{
+    addVm("v1", 3000);
+    auto gang = makeStep(3);
+    gang.gang = true;
+    setCapacity("v1", { 2000, 32'000, 0 });
+    submit("j1", { gang });
+    BOOST_TEST(starts().empty());
+    BOOST_TEST(state.vms.at("v1").used.cpu == 0);
+    setCapacity("v1", { 3000, 32'000, 0 });
+    BOOST_TEST(starts().size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(unconfirmedStartIsReleasedOnlyAfterAConfirmedStop)
 {
     addVm("v1", 1000);
