Send no start held back to a VM that may no longer take it

Cause: a start is planned when its VM accepts work and has room, but sent only once its job's record is durable and its spec loaded, which takes seconds while the platform's table is slow or away. takeReadyStarts() then checked only that the run was still wanted. A VM that had begun to drain, had shrunk, was unresponsive, unregistered, evacuated or quarantined by then was sent the start all the same. Ruled out: planning, which checks all of this. Change: takeReadyStarts() checks each start held back, recorded or not, with the conditions of planning; the run's own reservation, which VmState::used counts, is left out. A start that its VM may no longer take releases its run, so that the next planning places it again. This happens before the record is durable too, as such a run would keep a VM occupied that is to be evacuated. Failed before: the five tests of VMs that no longer accept work: "sent[0].vm == "v2" has failed [v1 != v2]". heldBackStartDoesNotKeepAnEvacuatedVmOccupied: the machine does not count as empty. heldBackStartsDoNotExceedACapacityThatShrank: "[4 != 2]". heldBackStartCountsRunsBeingStoppedOnAVmThatShrank: the start is sent. heldBackStartThatFillsItsVmIsSent guards the own reservation and passed before.

--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -54,12 +54,18 @@
     return job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].advice;
 }
 
-/// Whether the VM accepts work and has room for one more task of the step.
-bool canHost(const VmState& vm, const StepSpec& step, const TaskId& id, TimePoint now)
+/// Whether the VM's state counts a run of the task itself.
+enum class OwnRun { None, Counted };
+
+/// Whether the VM accepts work and has room for the task of the step beside the other runs.
+bool canHost(const VmState& vm, const StepSpec& step, const TaskId& id, OwnRun ownRun, TimePoint now)
 {
-    return acceptsWork(vm, now) && hasLabel(vm, step.requiredLabel)
-        && fits(reservedBy(step), freeResources(vm))
-        && (step.maxPerVm == 0 || countSiblings(vm, id) < step.maxPerVm);
+    const bool isCounted = ownRun == OwnRun::Counted;
+    auto free = freeResources(vm);
+    if (isCounted)
+        free += reservedBy(step);
+    return acceptsWork(vm, now) && hasLabel(vm, step.requiredLabel) && fits(reservedBy(step), free)
+        && (step.maxPerVm == 0 || countSiblings(vm, id) - isCounted < step.maxPerVm);
 }
 
 /// Number of runs on the VM that should not share it with a task of the step: fillers and tasks with a
@@ -126,7 +132,8 @@
     VmState* best = nullptr;
     Score bestScore;
     for (auto& [name, vm] : state.vms) {
-        if (!canHost(vm, step, id, now) || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
+        if (!canHost(vm, step, id, OwnRun::None, now)
+            || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
             continue;
         const auto score = computeScore(state, vm, step, rack);
         if (best && !(score < bestScore))
@@ -140,6 +147,11 @@
     return best;
 }
 
+bool canStillHost(const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    return canHost(vm, stepOf(job, id.step), id, OwnRun::Counted, now);
+}
+
 bool needsTicket(const PoolState& state, const JobEntry& job)
 {
     const auto queue = state.queues.find(job.spec.queue);
@@ -154,7 +166,8 @@
     const auto rack = step.sameRack ? siblingRack(state, job, id) : step.preferredRack;
     std::vector<std::pair<Score, std::string>> candidates;
     for (const auto& [name, vm] : state.vms) {
-        if (!canHost(vm, step, id, now) || advice.deniedVms.contains(name) || hasTicket(advice, vm, now))
+        if (!canHost(vm, step, id, OwnRun::None, now) || advice.deniedVms.contains(name)
+            || hasTicket(advice, vm, now))
             continue;
         candidates.emplace_back(computeScore(state, vm, step, rack), name);
     }
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -10,6 +10,8 @@
 /// occurrence was due.
 VmState* chooseVm(
     PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now);
+/// Whether a VM for which a run of the task is planned may still take it.
+bool canStillHost(const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
 
 /// Whether the job's tasks may run only on VMs with a ticket of the advice service.
 bool needsTicket(const PoolState& state, const JobEntry& job);
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -1,22 +1,44 @@
 #include <damaskworks/start_gate.h>
 
-#include <iterator>
+#include "placement_choice_pvt.h"
+#include "pool_state_pvt.h"
+
+#include <utility>
 
 namespace damask::fleet {
 namespace {
 
-/// Fills the spec and a fresh lease into the start command. Returns false if the run is no longer to be
-/// started.
-bool prepareCommand(PoolState& state, StartAction& start, TimePoint now)
+/// Whether the run of the start is still to be started.
+bool isWanted(PoolState& state, const StartAction& start)
 {
     const auto* task = findTask(state, start.command.task);
-    const auto vm = state.vms.find(start.vm);
-    if (!task || !task->run || vm == state.vms.end() || task->run->vm != start.vm
-        || task->run->number != start.command.run || task->run->phase != RunPhase::Starting)
-        return false;
-    start.command.spec = state.jobs.find(start.command.task.job)->second.spec.spec;
-    start.command.leaseUntil = extendLease(vm->second, state.limits, now);
-    return true;
+    return task && task->run && task->run->vm == start.vm && task->run->number == start.command.run
+        && task->run->phase == RunPhase::Starting && state.vms.contains(start.vm);
+}
+
+/// Removes the starts that may no longer be sent. Those that the VM may no longer take release their run, so
+/// that they are planned again.
+void removeUnsendable(PoolState& state, std::vector<StartAction>& starts, TimePoint now)
+{
+    std::vector<StartAction> sendable;
+    for (auto& start : starts) {
+        if (!isWanted(state, start))
+            continue;
+        const auto& id = start.command.task;
+        if (!canStillHost(state.vms.find(start.vm)->second, state.jobs.find(id.job)->second, id, now)) {
+            releaseRun(state, id, *findTask(state, id));
+            continue;
+        }
+        sendable.push_back(std::move(start));
+    }
+    starts = std::move(sendable);
+}
+
+/// Fills the spec and a fresh lease into the start command.
+void prepareCommand(PoolState& state, const JobEntry& job, StartAction& start, TimePoint now)
+{
+    start.command.spec = job.spec.spec;
+    start.command.leaseUntil = extendLease(state.vms.find(start.vm)->second, state.limits, now);
 }
 
 } // namespace
@@ -28,14 +50,20 @@
         waiting[start.command.task.job].push_back(std::move(start));
     std::vector<StartAction> out;
     for (auto it = waiting.begin(); it != waiting.end();) {
-        const auto job = state.jobs.find(it->first);
-        if (job != state.jobs.end() && !(job->second.hasRecord && job->second.hasSpec)) {
+        auto& starts = it->second;
+        removeUnsendable(state, starts, now);
+        if (starts.empty()) {
+            it = waiting.erase(it);
+            continue;
+        }
+        const auto& job = state.jobs.find(it->first)->second;
+        if (!job.hasRecord || !job.hasSpec) {
             ++it;
             continue;
         }
-        for (auto& start : it->second) {
-            if (prepareCommand(state, start, now))
-                out.push_back(std::move(start));
+        for (auto& start : starts) {
+            prepareCommand(state, job, start, now);
+            out.push_back(std::move(start));
         }
         it = waiting.erase(it);
     }
--- a/src/libscheduler/start_gate_test.cpp
+++ b/src/libscheduler/start_gate_test.cpp
@@ -20,6 +20,36 @@
         return takeReadyStarts(state, waiting, starts(), clock.now());
     }
 
+    /// Sends what is held back, after the job's record has become durable, and what is then planned again.
+    std::vector<StartAction> sendOnceRecorded(const std::string& job)
+    {
+        state.jobs.at(job).hasRecord = true;
+        auto out = releasedStarts();
+        for (auto& start : releasedStarts())
+            out.push_back(std::move(start));
+        return out;
+    }
+
+    /// Holds back the start of one task on v1, and adds v2.
+    void holdBackStartOnV1()
+    {
+        submit("j1", { makeStep(1) });
+        BOOST_REQUIRE(releasedStarts().empty());
+        BOOST_REQUIRE(state.vms.at("v1").used.cpu == 1000);
+        addVm("v2");
+    }
+
+    /// Checks that the start held back on v1 was released, planned again and sent to v2.
+    void checkSentToV2Instead()
+    {
+        const auto sent = sendOnceRecorded("j1");
+        BOOST_REQUIRE(sent.size() == 1u);
+        BOOST_TEST(sent[0].vm == "v2");
+        BOOST_TEST(sent[0].command.run == 2u);
+        BOOST_TEST(state.vms.at("v1").used.cpu == 0);
+        BOOST_TEST(state.vms.at("v1").runs.empty());
+    }
+
     WaitingStarts waiting;
 };
 
@@ -95,4 +125,86 @@
     BOOST_TEST(out[0].command.spec == "data");
 }
 
+BOOST_AUTO_TEST_CASE(heldBackStartIsNotSentToADrainingVm)
+{
+    holdBackStartOnV1();
+    state.vms.at("v1").entry.draining = true;
+    checkSentToV2Instead();
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartIsNotSentToAnUnresponsiveVm)
+{
+    holdBackStartOnV1();
+    markUnresponsive(state, "v1");
+    checkSentToV2Instead();
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartIsNotSentToAnUnregisteredVm)
+{
+    holdBackStartOnV1();
+    unlistVm(state, "v1");
+    checkSentToV2Instead();
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartIsNotSentToAVmThatIsEvacuated)
+{
+    holdBackStartOnV1();
+    setEvacuation(state.vms.at("v1"), "7.1");
+    checkSentToV2Instead();
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartIsNotSentToAQuarantinedVm)
+{
+    holdBackStartOnV1();
+    state.vms.at("v1").quarantinedUntil = clock.now() + 2s;
+    checkSentToV2Instead();
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartDoesNotKeepAnEvacuatedVmOccupied)
+{
+    holdBackStartOnV1();
+    setEvacuation(state.vms.at("v1"), "7.1");
+    BOOST_TEST(releasedStarts().empty()); // the record is not durable yet
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).empty.contains("m-v1"));
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartsDoNotExceedACapacityThatShrank)
+{
+    submit("j1", { makeStep(4) });
+    BOOST_REQUIRE(releasedStarts().empty());
+    BOOST_REQUIRE(state.vms.at("v1").used.cpu == 4000);
+    setCapacity("v1", { 2000, 32'000, 0 });
+    BOOST_TEST(sendOnceRecorded("j1").size() == 2u);
+    BOOST_TEST(state.vms.at("v1").used.cpu == 2000);
+    setCapacity("v1", { 4000, 32'000, 0 });
+    BOOST_TEST(releasedStarts().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartCountsRunsBeingStoppedOnAVmThatShrank)
+{
+    submit("j0", { makeStep(1) }, true);
+    const auto running = startAndAccept();
+    BOOST_REQUIRE(running.size() == 1u);
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(releasedStarts().empty());
+    cancelJob(state, "j0");
+    BOOST_REQUIRE(planStops(state, clock.now()).size() == 1u);
+    setCapacity("v1", { 1000, 32'000, 0 });
+    BOOST_TEST(sendOnceRecorded("j1").empty());
+    report("v1", { makeEnd(1, running[0], EndKind::Stopped) });
+    BOOST_TEST(releasedStarts().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartThatFillsItsVmIsSent)
+{
+    setCapacity("v1", { 1000, 32'000, 0 });
+    auto step = makeStep(1);
+    step.maxPerVm = 1;
+    submit("j1", { step });
+    BOOST_REQUIRE(releasedStarts().empty());
+    const auto sent = sendOnceRecorded("j1");
+    BOOST_REQUIRE(sent.size() == 1u);
+    BOOST_TEST(sent[0].command.run == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
