Send no start held back of a job that has ended

Cause: takeReadyStarts() sent a start of a job that was cancelled or had failed if planStops() had not yet marked its run. Ruled out: that the program did so. PoolHolder::reconcile() plans stops before starts, and planStops() marks all runs of ended jobs, whatever its limit. The gate relied on that order. Change: a start held back of an ended job releases its run. It was never sent, so there is nothing to stop. Failed before: heldBackStartOfACancelledJobIsNotSentBeforeItsStopIsPlanned and heldBackStartOfAFailedJobIsNotSentBeforeItsStopIsPlanned: "sendOnceRecorded("j1").empty() has failed", and the run stays on v1. Conclusion: a guard.

--- a/src/include/damaskworks/start_gate.h
+++ b/src/include/damaskworks/start_gate.h
@@ -18,8 +18,8 @@
 using WaitingStarts = std::map<std::string, std::vector<StartAction>, std::less<>>;
 
 /// Adds \p planned to \p waiting, then removes and returns the starts that may be sent now. Drops starts
-/// whose run was released or stopped in the meantime, and releases the runs of starts that their VM may no
-/// longer take.
+/// whose run was released or stopped in the meantime, and releases the runs of starts whose job has ended or
+/// that their VM may no longer take.
 std::vector<StartAction> takeReadyStarts(
     PoolState& state, WaitingStarts& waiting, std::vector<StartAction> planned, TimePoint now);
 
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -16,8 +16,8 @@
         && task->run->phase == RunPhase::Starting && state.vms.contains(start.vm);
 }
 
-/// Removes the starts that may no longer be sent. Those that the VM may no longer take release their run, so
-/// that they are planned again.
+/// Removes the starts that may no longer be sent. Those of ended jobs and those that the VM may no longer
+/// take release their run, so that they are planned again if their job has not ended.
 void removeUnsendable(PoolState& state, std::vector<StartAction>& starts, TimePoint now)
 {
     std::vector<StartAction> sendable;
@@ -25,7 +25,8 @@
         if (!isWanted(state, start))
             continue;
         const auto& id = start.command.task;
-        if (!canStillHost(state.vms.find(start.vm)->second, state.jobs.find(id.job)->second, id, now)) {
+        const auto& job = state.jobs.find(id.job)->second;
+        if (isFinal(job.state) || !canStillHost(state.vms.find(start.vm)->second, job, id, now)) {
             releaseRun(state, id, *findTask(state, id));
             continue;
         }
--- a/src/libscheduler/start_gate_test.cpp
+++ b/src/libscheduler/start_gate_test.cpp
@@ -207,4 +207,23 @@
     BOOST_TEST(sent[0].command.run == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(heldBackStartOfACancelledJobIsNotSentBeforeItsStopIsPlanned)
+{
+    submit("j1", { makeStep(1) });
+    releasedStarts();
+    cancelJob(state, "j1");
+    BOOST_TEST(sendOnceRecorded("j1").empty());
+    BOOST_TEST(waiting.empty());
+    BOOST_TEST(state.vms.at("v1").runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartOfAFailedJobIsNotSentBeforeItsStopIsPlanned)
+{
+    submit("j1", { makeStep(1) });
+    releasedStarts();
+    state.jobs.at("j1").state = JobState::Failed;
+    BOOST_TEST(sendOnceRecorded("j1").empty());
+    BOOST_TEST(state.vms.at("v1").runs.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
