Send no start held back with an expired ticket

Cause: the ticket of the advice service was put into the command when the start was planned. A start held back for longer than the ticket's remaining validity was sent with the expired ticket, though a newer one was known, and the VM rejected it, which is charged. Ruled out: planning, which checks the ticket with its safety margin. Change: takeReadyStarts() releases a start whose VM has no valid ticket any more, and fills the newest ticket into those that it sends. Failed before: heldBackStartIsNotSentWithAnExpiredTicket: "sendOnceRecorded("j1").empty() has failed". heldBackStartCarriesTheRenewedTicket: "[first != second]".

--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -147,9 +147,18 @@
     return best;
 }
 
-bool canStillHost(const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+bool canStillHost(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
 {
-    return canHost(vm, stepOf(job, id.step), id, OwnRun::Counted, now);
+    return canHost(vm, stepOf(job, id.step), id, OwnRun::Counted, now)
+        && (!needsTicket(state, job) || hasTicket(stepAdvice(job, id), vm, now));
+}
+
+std::string ticketFor(const JobEntry& job, const TaskId& id, std::string_view vm)
+{
+    const auto& tickets = stepAdvice(job, id).tickets;
+    const auto ticket = tickets.find(vm);
+    return ticket == tickets.end() ? "" : ticket->second.text;
 }
 
 bool needsTicket(const PoolState& state, const JobEntry& job)
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -11,7 +11,11 @@
 VmState* chooseVm(
     PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now);
 /// Whether a VM for which a run of the task is planned may still take it.
-bool canStillHost(const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
+bool canStillHost(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
+
+/// Ticket of the advice service for the task on the VM; empty if there is none.
+std::string ticketFor(const JobEntry& job, const TaskId& id, std::string_view vm);
 
 /// Whether the job's tasks may run only on VMs with a ticket of the advice service.
 bool needsTicket(const PoolState& state, const JobEntry& job);
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -108,12 +108,9 @@
         job.firstStartAt = now;
     if (!job.hasRecord)
         job.dirty = true; // its record must be durable before the command is sent
-    const auto& tickets
-        = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].advice.tickets;
-    const auto ticket = tickets.find(vm.entry.id);
     StartAction action { vm.entry.id, {} };
-    action.command = { id, number, job.spec.spec, checkpoint,
-        ticket == tickets.end() ? "" : ticket->second.text, extendLease(vm, state.limits, now) };
+    action.command = { id, number, job.spec.spec, checkpoint, ticketFor(job, id, vm.entry.id),
+        extendLease(vm, state.limits, now) };
     return action;
 }
 
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -26,7 +26,7 @@
             continue;
         const auto& id = start.command.task;
         const auto& job = state.jobs.find(id.job)->second;
-        if (isFinal(job.state) || !canStillHost(state.vms.find(start.vm)->second, job, id, now)) {
+        if (isFinal(job.state) || !canStillHost(state, state.vms.find(start.vm)->second, job, id, now)) {
             releaseRun(state, id, *findTask(state, id));
             continue;
         }
@@ -35,10 +35,11 @@
     starts = std::move(sendable);
 }
 
-/// Fills the spec and a fresh lease into the start command.
+/// Fills the spec, the newest ticket and a fresh lease into the start command.
 void prepareCommand(PoolState& state, const JobEntry& job, StartAction& start, TimePoint now)
 {
     start.command.spec = job.spec.spec;
+    start.command.ticket = ticketFor(job, start.command.task, start.vm);
     start.command.leaseUntil = extendLease(state.vms.find(start.vm)->second, state.limits, now);
 }
 
--- a/src/libscheduler/start_gate_test.cpp
+++ b/src/libscheduler/start_gate_test.cpp
@@ -226,4 +226,36 @@
     BOOST_TEST(state.vms.at("v1").runs.empty());
 }
 
+BOOST_AUTO_TEST_CASE(heldBackStartIsNotSentWithAnExpiredTicket)
+{
+    state.queues.at("quotes").advice = AdviceSettings { 20ms, 2ms, 3000ms };
+    submit("j1", { makeStep(1) });
+    auto& tickets = state.jobs.at("j1").occurrences.at(0).steps[0].advice.tickets;
+    tickets["v1"] = { "first", clock.now() + 3s };
+    BOOST_REQUIRE(releasedStarts().empty());
+    BOOST_REQUIRE(state.vms.at("v1").used.cpu == 1000);
+    advance(3s);
+    BOOST_TEST(sendOnceRecorded("j1").empty());
+    BOOST_TEST(state.vms.at("v1").runs.empty());
+    tickets["v1"] = { "second", clock.now() + 3s };
+    const auto sent = releasedStarts();
+    BOOST_REQUIRE(sent.size() == 1u);
+    BOOST_TEST(sent[0].command.ticket == "second");
+}
+
+BOOST_AUTO_TEST_CASE(heldBackStartCarriesTheRenewedTicket)
+{
+    state.queues.at("quotes").advice = AdviceSettings { 20ms, 2ms, 3000ms };
+    submit("j1", { makeStep(1) });
+    auto& tickets = state.jobs.at("j1").occurrences.at(0).steps[0].advice.tickets;
+    tickets["v1"] = { "first", clock.now() + 3s };
+    BOOST_REQUIRE(releasedStarts().empty());
+    advance(2s);
+    tickets["v1"] = { "second", clock.now() + 3s };
+    advance(2s);
+    const auto sent = sendOnceRecorded("j1");
+    BOOST_REQUIRE(sent.size() == 1u);
+    BOOST_TEST(sent[0].command.ticket == "second");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
