Send no part of a gang held back whose other members can't be sent

Cause: takeReadyStarts() dropped single members of a gang, since the VM of one had rebooted or its lease had expired. Ruled out: members sent in different calls. All starts of a job become ready at once, and a gang is planned as a whole. Change: before any start of a job is taken, takeReadyStarts() looks for gangs with a member that may not be sent; all members of that run of the gang are released, so that the gang is planned again as a whole. Members are told apart by run number, as the starts of an earlier run may still be in the list. Conclusion: a gang held back is sent as a whole or planned again.

--- a/src/include/damaskworks/start_gate.h
+++ b/src/include/damaskworks/start_gate.h
@@ -19,7 +19,8 @@
 
 /// Adds \p planned to \p waiting, then removes and returns the starts that may be sent now. Drops starts
 /// whose run was released or stopped in the meantime, and releases the runs of starts whose job has ended or
-/// that their VM may no longer take.
+/// that their VM may no longer take. If that holds for one member of a gang, no member that is still held
+/// back is sent.
 std::vector<StartAction> takeReadyStarts(
     PoolState& state, WaitingStarts& waiting, std::vector<StartAction> planned, TimePoint now);
 
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -3,6 +3,8 @@
 #include "placement_choice_pvt.h"
 #include "pool_state_pvt.h"
 
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace damask::fleet {
@@ -16,17 +18,48 @@
         && task->run->phase == RunPhase::Starting && state.vms.contains(start.vm);
 }
 
-/// Removes the starts that may no longer be sent. Those of ended jobs and those that the VM may no longer
-/// take release their run, so that they are planned again if their job has not ended.
+/// Whether a start of the job may be sent as far as the job and the VM are concerned.
+bool isSendable(const PoolState& state, const JobEntry& job, const StartAction& start, TimePoint now)
+{
+    return !isFinal(job.state)
+        && canStillHost(state, state.vms.find(start.vm)->second, job, start.command.task, now);
+}
+
+/// One run of a gang: occurrence, step and run number.
+using GangRun = std::tuple<int, int, std::uint32_t>;
+
+GangRun gangRunOf(const StartCommand& command)
+{
+    return { command.task.occurrence, command.task.step, command.run };
+}
+
+/// Gangs among the job's \p starts with a member that may no longer be sent.
+std::set<GangRun> incompleteGangs(PoolState& state, const std::vector<StartAction>& starts, TimePoint now)
+{
+    std::set<GangRun> out;
+    for (const auto& start : starts) {
+        const auto job = state.jobs.find(start.command.task.job);
+        if (job == state.jobs.end() || !stepOf(job->second, start.command.task.step).gang)
+            continue;
+        if (!isWanted(state, start) || !isSendable(state, job->second, start, now))
+            out.insert(gangRunOf(start.command));
+    }
+    return out;
+}
+
+/// Removes the starts that may no longer be sent, and the other members of their gangs. Except for runs that
+/// were released or stopped already, they release their run, so that it is planned again if its job has not
+/// ended.
 void removeUnsendable(PoolState& state, std::vector<StartAction>& starts, TimePoint now)
 {
+    const auto incomplete = incompleteGangs(state, starts, now);
     std::vector<StartAction> sendable;
     for (auto& start : starts) {
         if (!isWanted(state, start))
             continue;
         const auto& id = start.command.task;
         const auto& job = state.jobs.find(id.job)->second;
-        if (isFinal(job.state) || !canStillHost(state, state.vms.find(start.vm)->second, job, id, now)) {
+        if (incomplete.contains(gangRunOf(start.command)) || !isSendable(state, job, start, now)) {
             releaseRun(state, id, *findTask(state, id));
             continue;
         }
--- a/src/libscheduler/start_gate_test.cpp
+++ b/src/libscheduler/start_gate_test.cpp
@@ -50,6 +50,19 @@
         BOOST_TEST(state.vms.at("v1").runs.empty());
     }
 
+    /// Holds back the starts of a gang of two, which fill v1 and v2.
+    void holdBackGangOnTwoVms()
+    {
+        setCapacity("v1", { 1000, 32'000, 0 });
+        addVm("v2", 1000);
+        auto gang = makeStep(2);
+        gang.gang = true;
+        submit("j1", { gang });
+        BOOST_REQUIRE(releasedStarts().empty());
+        for (const auto* vm : { "v1", "v2" })
+            BOOST_REQUIRE(state.vms.at(vm).used.cpu == 1000);
+    }
+
     WaitingStarts waiting;
 };
 
@@ -258,4 +271,49 @@
     BOOST_TEST(sent[0].command.ticket == "second");
 }
 
+BOOST_AUTO_TEST_CASE(heldBackGangIsNotSentWithoutAMemberWhoseVmDrains)
+{
+    holdBackGangOnTwoVms();
+    state.vms.at("v2").entry.draining = true;
+    BOOST_TEST(sendOnceRecorded("j1").empty());
+    for (const auto* vm : { "v1", "v2" })
+        BOOST_TEST(state.vms.at(vm).runs.empty());
+    addVm("v3", 1000);
+    const auto sent = releasedStarts();
+    BOOST_REQUIRE(sent.size() == 2u);
+    BOOST_TEST(sent[0].command.run == sent[1].command.run);
+}
+
+BOOST_AUTO_TEST_CASE(heldBackGangIsNotSentWithoutAMemberWhoseVmRebooted)
+{
+    holdBackGangOnTwoVms();
+    reportEmpty("v2", 2);
+    BOOST_REQUIRE(state.vms.at("v2").runs.empty());
+    // The whole gang is planned again.
+    const auto sent = sendOnceRecorded("j1");
+    BOOST_REQUIRE(sent.size() == 2u);
+    BOOST_TEST(sent[0].command.run == 2u);
+    BOOST_TEST(sent[1].command.run == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(gangPlannedAgainIsSentBesideItsDroppedStarts)
+{
+    holdBackGangOnTwoVms();
+    for (const auto* vm : { "v1", "v2" })
+        reportEmpty(vm, 2);
+    BOOST_REQUIRE(releasedStarts().empty()); // planned again, and still without a durable record
+    const auto sent = sendOnceRecorded("j1");
+    BOOST_REQUIRE(sent.size() == 2u);
+    BOOST_TEST(sent[0].command.run == 2u);
+    BOOST_TEST(sent[1].command.run == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(heldBackGangThatFitsIsSent)
+{
+    holdBackGangOnTwoVms();
+    const auto sent = sendOnceRecorded("j1");
+    BOOST_REQUIRE(sent.size() == 2u);
+    BOOST_TEST(sent[0].command.run == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
