--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -189,6 +189,7 @@
     NotListed, ///< released: the VM does not list it
     VmRestarted, ///< released: the VM has restarted since
     LeaseExpired, ///< released: the VM is silent or gone, and its lease has expired
+    Withdrawn, ///< released: the start was not sent, since the VM may no longer take it
     StartRejected, ///< released: the VM rejected the start command, or did not receive it
     Adopted, ///< started by an earlier holder and kept
     Orphaned, ///< running without being expected; to be stopped
@@ -197,10 +198,11 @@
     GivenUp, ///< the job has failed, since the task crashes the VMs that start it
 };
 
-inline constexpr NameTable<RunEventKind, 9> runEventKindNames { {
+inline constexpr NameTable<RunEventKind, 10> runEventKindNames { {
     { RunEventKind::NotListed, "not_listed" },
     { RunEventKind::VmRestarted, "vm_restarted" },
     { RunEventKind::LeaseExpired, "lease_expired" },
+    { RunEventKind::Withdrawn, "withdrawn" },
     { RunEventKind::StartRejected, "start_rejected" },
     { RunEventKind::Adopted, "adopted" },
     { RunEventKind::Orphaned, "orphaned" },
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -59,17 +59,24 @@
     return job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].advice;
 }
 
-/// Whether the VM has room for one more task of the step and may run it.
-bool suits(const VmState& vm, const StepSpec& step, const TaskId& id)
+/// Whether the VM's state counts a run of the task itself.
+enum class OwnRun { None, Counted };
+
+/// Whether the VM has room for the task of the step beside the other runs, and may run it.
+bool suits(const VmState& vm, const StepSpec& step, const TaskId& id, OwnRun ownRun)
 {
-    return hasLabel(vm, step.requiredLabel) && fits(reservedBy(step), freeResources(vm))
-        && (step.maxPerVm == 0 || countSiblings(vm, id) < step.maxPerVm);
+    const bool isCounted = ownRun == OwnRun::Counted;
+    auto free = freeResources(vm);
+    if (isCounted)
+        free += reservedBy(step);
+    return hasLabel(vm, step.requiredLabel) && fits(reservedBy(step), free)
+        && (step.maxPerVm == 0 || countSiblings(vm, id) - isCounted < step.maxPerVm);
 }
 
-/// Whether the VM accepts work and suits the task.
+/// Whether the VM accepts work and suits a task that has no run on it.
 bool canHost(const VmState& vm, const StepSpec& step, const TaskId& id, TimePoint now)
 {
-    return acceptsWork(vm, now) && suits(vm, step, id);
+    return acceptsWork(vm, now) && suits(vm, step, id, OwnRun::None);
 }
 
 /// Number of runs on the VM that should not share it with a task of the step: fillers and tasks with a
@@ -158,7 +165,7 @@
         ++available;
         const bool isReserved = now < vm.reservedUntil;
         taken += vm.trialTask || isReserved;
-        if (vm.trialTask || !suits(vm, step, id)
+        if (vm.trialTask || !suits(vm, step, id, OwnRun::None)
             || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
             continue;
         if (isQuiet(state, vm, now)) {
@@ -199,6 +206,20 @@
     return best;
 }
 
+bool canStillHost(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    return isAvailable(vm, now) && suits(vm, stepOf(job, id.step), id, OwnRun::Counted)
+        && (!needsTicket(state, job) || hasTicket(stepAdvice(job, id), vm, now));
+}
+
+std::string ticketFor(const JobEntry& job, const TaskId& id, std::string_view vm)
+{
+    const auto& tickets = stepAdvice(job, id).tickets;
+    const auto ticket = tickets.find(vm);
+    return ticket == tickets.end() ? "" : ticket->second.text;
+}
+
 bool needsTicket(const PoolState& state, const JobEntry& job)
 {
     const auto queue = state.queues.find(job.spec.queue);
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -10,6 +10,12 @@
 /// occurrence was due.
 VmState* chooseVm(
     PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now);
+/// Whether a VM for which a run of the task is planned may still take it.
+bool canStillHost(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
+
+/// Ticket of the advice service for the task on the VM; empty if there is none.
+std::string ticketFor(const JobEntry& job, const TaskId& id, std::string_view vm);
 
 /// VM on which a suspect task should start its trial now; nullptr if it has to wait. Reserves a VM for
 /// suspect tasks if none is quiet; at most half of the available VMs are reserved or have a trial.
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -1,31 +1,89 @@
 #include <damaskworks/start_gate.h>
 
-#include <iterator>
+#include "placement_choice_pvt.h"
+#include "pool_state_pvt.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
 
 namespace damask::fleet {
 namespace {
 
-/// Whether the start must wait for a durable record of the run's trial.
+/// Whether the start has to wait for a durable record of its run's trial.
 bool waitsForRecord(PoolState& state, const JobEntry& job, const StartAction& start)
+{
+    const auto& run = *findTask(state, start.command.task)->run;
+    return run.trial.count() > 0 && job.committedBatch <= run.recordedAfterBatch;
+}
+
+/// Whether the run of the start is still to be started.
+bool isWanted(PoolState& state, const StartAction& start)
 {
     const auto* task = findTask(state, start.command.task);
-    return task && task->run && task->run->number == start.command.run && task->run->trial.count() > 0
-        && job.committedBatch <= task->run->recordedAfterBatch;
+    return task && task->run && task->run->vm == start.vm && task->run->number == start.command.run
+        && task->run->phase == RunPhase::Starting && state.vms.contains(start.vm);
+}
+
+/// Whether a start of the job may be sent as far as the job and the VM are concerned.
+bool isSendable(const PoolState& state, const JobEntry& job, const StartAction& start, TimePoint now)
+{
+    return !isFinal(job.state)
+        && canStillHost(state, state.vms.find(start.vm)->second, job, start.command.task, now);
+}
+
+/// One run of a gang: occurrence, step and run number.
+using GangRun = std::tuple<int, int, std::uint32_t>;
+
+GangRun gangRunOf(const StartCommand& command)
+{
+    return { command.task.occurrence, command.task.step, command.run };
+}
+
+/// Gangs among the job's \p starts with a member that may no longer be sent.
+std::set<GangRun> incompleteGangs(PoolState& state, const std::vector<StartAction>& starts, TimePoint now)
+{
+    std::set<GangRun> out;
+    for (const auto& start : starts) {
+        const auto job = state.jobs.find(start.command.task.job);
+        if (job == state.jobs.end() || !stepOf(job->second, start.command.task.step).gang)
+            continue;
+        if (!isWanted(state, start) || !isSendable(state, job->second, start, now))
+            out.insert(gangRunOf(start.command));
+    }
+    return out;
 }
 
-/// Fills the spec and a fresh lease into the start command. Returns false if the run is no longer to be
-/// started.
-bool prepareCommand(PoolState& state, StartAction& start, TimePoint now)
+/// Removes the starts that may no longer be sent, and the other members of their gangs. Except for runs that
+/// were released or stopped already, they release their run, so that it is planned again if its job has not
+/// ended.
+void removeUnsendable(PoolState& state, std::vector<StartAction>& starts, TimePoint now)
 {
-    auto* task = findTask(state, start.command.task);
-    const auto vm = state.vms.find(start.vm);
-    if (!task || !task->run || vm == state.vms.end() || task->run->vm != start.vm
-        || task->run->number != start.command.run || task->run->phase != RunPhase::Starting)
-        return false;
-    start.command.spec = state.jobs.find(start.command.task.job)->second.spec.spec;
-    start.command.leaseUntil = extendLease(vm->second, state.limits, now);
-    task->run->sentAt = vm->second.lastStartAt = now;
-    return true;
+    const auto incomplete = incompleteGangs(state, starts, now);
+    std::vector<StartAction> sendable;
+    for (auto& start : starts) {
+        if (!isWanted(state, start))
+            continue;
+        const auto& id = start.command.task;
+        const auto& job = state.jobs.find(id.job)->second;
+        if (incomplete.contains(gangRunOf(start.command)) || !isSendable(state, job, start, now)) {
+            releaseRunAs(state, id, *findTask(state, id), RunEventKind::Withdrawn);
+            continue;
+        }
+        sendable.push_back(std::move(start));
+    }
+    starts = std::move(sendable);
+}
+
+/// Fills the spec, the newest ticket and a fresh lease into the start command.
+void prepareCommand(PoolState& state, const JobEntry& job, StartAction& start, TimePoint now)
+{
+    start.command.spec = job.spec.spec;
+    start.command.ticket = ticketFor(job, start.command.task, start.vm);
+    auto& vm = state.vms.find(start.vm)->second;
+    start.command.leaseUntil = extendLease(vm, state.limits, now);
+    findTask(state, start.command.task)->run->sentAt = vm.lastStartAt = now;
 }
 
 } // namespace
@@ -37,20 +95,24 @@
         waiting[start.command.task.job].push_back(std::move(start));
     std::vector<StartAction> out;
     for (auto it = waiting.begin(); it != waiting.end();) {
-        const auto job = state.jobs.find(it->first);
-        if (job != state.jobs.end() && !(job->second.hasRecord && job->second.hasSpec)) {
+        auto& starts = it->second;
+        removeUnsendable(state, starts, now);
+        if (starts.empty()) {
+            it = waiting.erase(it);
+            continue;
+        }
+        const auto& job = state.jobs.find(it->first)->second;
+        const bool isTrialUnrecorded = std::any_of(starts.begin(), starts.end(),
+            [&](const StartAction& start) { return waitsForRecord(state, job, start); });
+        if (!job.hasRecord || !job.hasSpec || isTrialUnrecorded) {
             ++it;
             continue;
         }
-        std::vector<StartAction> held;
-        for (auto& start : it->second) {
-            if (job != state.jobs.end() && waitsForRecord(state, job->second, start))
-                held.push_back(std::move(start));
-            else if (prepareCommand(state, start, now))
-                out.push_back(std::move(start));
+        for (auto& start : starts) {
+            prepareCommand(state, job, start, now);
+            out.push_back(std::move(start));
         }
-        it->second = std::move(held);
-        it = it->second.empty() ? waiting.erase(it) : std::next(it);
+        it = waiting.erase(it);
     }
     return out;
 }
