Compute a VM's lease from the slowest clock that it can have

Cause: extendLease() took the VM's clock as its last report plus the time since. The clock may run 2% slow, and VMs without runs were not asked for reports, so after a minute of idleness a lease was 1.2 s longer than vmLease, more than the 0.3 s that a new holder adds. Then it could start tasks that still ran (TWICE). Ruled out: a larger margin of the new holder: idleness has no bound. isLeaseExpired() was not affected, it used the same end. Change: the lease end is computed with PoolLimits::minVmClockRate. An idle VM reports each 20 s, which limits the loss for a VM with an exact clock to about 0.6 s of 4.5 s; an idle pool is looked at each 5 s for that. The condition is a free function, isReportDue(). Tests: leaseOfAnIdleVmWithASlowClockIsNotTooLong failed before with 5700 > 4500; idleVmReportsNowAndThen failed with the old condition; leaseInACommandIsNeverEarlierThanOneBefore passed before and after (VM clock 2% slow, reports each 140 ms).

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -130,6 +130,9 @@
     milliseconds vmLease { 4500 };
     /// Slowest rate of a VM's clock. It may run slow by 2%; the rest covers the rounding to milliseconds.
     double minVmClockRate = 0.975;
+    /// How often a VM without runs reports. Its lease is computed for the slowest clock, so the longer ago
+    /// its last report, the shorter its lease.
+    milliseconds idleReportInterval { 20000 };
     milliseconds stopRetryDelay { 400 }; ///< twice the time that a VM may take to stop a task
     /// How long the runs of a silent VM that is still registered are kept after its lease has expired. It is
     /// alive, so a run may have ended before the expiry, which only its report can show.
@@ -229,6 +232,8 @@
 /// Whether the lease of every run on the VM has expired, even if the VM's clock is at its slowest.
 bool isLeaseExpired(const VmState& vm, const PoolLimits& limits, TimePoint now);
 
+/// Whether the VM is to be asked for a report even if no end waits for its acknowledgement.
+bool isReportDue(const VmState& vm, const PoolLimits& limits, TimePoint now);
 /// The next heartbeat for the VM, which asks for its report. Renews the lease of its runs if the VM responds.
 HeartbeatCommand planHeartbeat(VmState& vm, const PoolLimits& limits, TimePoint now);
 
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -12,6 +12,8 @@
 
 /// Longest time between calls of reconcile() while there are jobs or evacuations, whose timeouts it checks.
 constexpr milliseconds reconcileInterval { 100 };
+/// The same for a pool without either, whose VMs report now and then.
+constexpr milliseconds idleReconcileInterval { 5000 };
 /// Shortest time between two sums of the load, which visit every run of the pool.
 constexpr milliseconds loadCheckInterval { 30 };
 /// Shortest time between two writes of the pool's load.
@@ -249,8 +251,8 @@
     removeEndedJobs();
     markDirtyIfNeeded();
     publishLoad(now);
-    if (!m_state.jobs.empty() || !m_evacuations.empty())
-        scheduleReconcile(reconcileInterval);
+    const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
+    scheduleReconcile(isIdle ? idleReconcileInterval : reconcileInterval);
 }
 
 void PoolHolder::markDirtyIfNeeded()
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -114,7 +114,7 @@
     if (heartbeatState.isInFlight)
         return false;
     const bool hasUnsentAck = vm.applied > heartbeatState.lastAckSent;
-    if (vm.hasReported && vm.runs.empty() && vm.orphanRuns.empty() && !hasUnsentAck && !vm.isUnresponsive)
+    if (!hasUnsentAck && !isReportDue(vm, m_state.limits, now))
         return false;
     if (now < heartbeatState.nextHeartbeatAt)
         return false;
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -190,13 +190,31 @@
         found->second.isUnresponsive = true;
 }
 
+namespace {
+
+/// The least that the VM's clock can show now, if the VM has not restarted since its last report.
+std::chrono::duration<double, std::milli> earliestClock(
+    const VmState& vm, const PoolLimits& limits, TimePoint now)
+{
+    return vm.reportedClock + (now - vm.clockReportedAt) * limits.minVmClockRate;
+}
+
+} // namespace
+
 milliseconds extendLease(VmState& vm, const PoolLimits& limits, TimePoint now)
 {
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - vm.clockReportedAt);
-    vm.leaseUntil = std::max(vm.leaseUntil, vm.reportedClock + elapsed + limits.vmLease);
+    // From a later estimate of its clock, a slow VM would get a longer lease than a new holder waits for.
+    const auto clock = std::chrono::floor<milliseconds>(earliestClock(vm, limits, now));
+    vm.leaseUntil = std::max(vm.leaseUntil, clock + limits.vmLease);
     return vm.leaseUntil;
 }
 
+bool isReportDue(const VmState& vm, const PoolLimits& limits, TimePoint now)
+{
+    return !vm.hasReported || vm.isUnresponsive || !vm.runs.empty() || !vm.orphanRuns.empty()
+        || now - vm.clockReportedAt >= limits.idleReportInterval;
+}
+
 HeartbeatCommand planHeartbeat(VmState& vm, const PoolLimits& limits, TimePoint now)
 {
     HeartbeatCommand command;
@@ -214,9 +232,7 @@
 {
     if (!vm.hasReported)
         return false;
-    const auto elapsed = std::chrono::duration<double, std::milli>(now - vm.clockReportedAt);
-    return static_cast<double>(vm.reportedClock.count()) + elapsed.count() * limits.minVmClockRate
-        > static_cast<double>(vm.leaseUntil.count());
+    return earliestClock(vm, limits, now) > vm.leaseUntil;
 }
 
 void expireLeases(PoolState& state, TimePoint now)
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -559,4 +559,50 @@
     BOOST_TEST(forecast <= 210'000);
 }
 
+// A VM without runs is not asked for reports for a while, and its clock may run 2% slow: after a minute its
+// lease was 1.2 s longer than a new holder waits.
+BOOST_AUTO_TEST_CASE(leaseOfAnIdleVmWithASlowClockIsNotTooLong)
+{
+    addVm("v1");
+    auto& vm = state.vms.at("v1");
+    const auto reported = vm.reportedClock;
+    advance(60s);
+    const auto slowClock = reported + 58'800ms;
+    BOOST_TEST(
+        (extendLease(vm, state.limits, clock.now()) - slowClock).count() <= state.limits.vmLease.count());
+}
+
+BOOST_AUTO_TEST_CASE(leaseInACommandIsNeverEarlierThanOneBefore)
+{
+    addVm("v1");
+    auto& vm = state.vms.at("v1");
+    const auto first = vm.reportedClock;
+    milliseconds last { 0 };
+    for (int i = 1; i <= 3000; ++i) {
+        advance(7ms);
+        const auto lease = extendLease(vm, state.limits, clock.now());
+        BOOST_REQUIRE(lease.count() >= last.count());
+        last = lease;
+        if (i % 20 != 0)
+            continue;
+        VmReport report;
+        report.bootTime = 1;
+        report.vmClock = first + i * 7ms * 98 / 100;
+        applyReport(state, "v1", report, clock.now(), clock.now());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(idleVmReportsNowAndThen)
+{
+    addVm("v1");
+    const auto& vm = state.vms.at("v1");
+    BOOST_TEST(!isReportDue(vm, state.limits, clock.now()));
+    advance(state.limits.idleReportInterval);
+    BOOST_TEST(isReportDue(vm, state.limits, clock.now()));
+    report("v1");
+    BOOST_TEST(!isReportDue(vm, state.limits, clock.now()));
+    markUnresponsive(state, "v1");
+    BOOST_TEST(isReportDue(vm, state.limits, clock.now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
