Keep the runs of a silent VM for the longest lease that it can have

Cause: VmState::leaseUntil held only what this holder had sent. It was 0 after the first report to a new holder and after a report that showed a restart, so isLeaseExpired() was true at once. An unregistered VM that fell silent right then lost its adopted runs while an earlier holder's lease still ran; the same tasks could then be started elsewhere (TWICE). After a restart under the same id, a command with a lease end on the earlier boot's clock is cut by the VM to its longest lease, at whatever time it is carried out. Ruled out: sending the raised end in commands: the VM's lease would then really exceed vmLease, which a next holder waits for. Change: PoolLimits::maxVmLease (hold_max_ms). leaseUntil is raised to the reported clock plus maxVmLease at a first report that lists runs, at a report that shows a restart, and at reports in the 10 s after it, while commands for the earlier boot may still be carried out. Commands carry the end computed for them, not the raised one. Tests: adoptedRunsOfASilentVmAreKeptForTheLongestLease failed before at once and after 6.12 s; runsOfARestartedVmAreKeptForTheLongestLease failed before after 6 s; commandForAnEarlierBootExtendsTheLeaseToTheLongest failed before 10 s after the last report. leaseInACommandIsNotLongerAfterAFirstReport passed before and guards the second part of the change. Conclusion: costs time only for VMs that fall silent within maxVmLease of a takeover or 10 s of a restart.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -106,7 +106,9 @@
     std::int64_t bootTime = 0; ///< boot time, see VmReport; differs after a reboot
     milliseconds reportedClock { 0 }; ///< the VM's clock in its last report
     TimePoint clockReportedAt {}; ///< when that report arrived, on this node's clock
-    milliseconds leaseUntil { 0 }; ///< latest lease end sent in any command, on the VM's clock
+    /// Latest end of a lease that a command of any holder can have granted, on the VM's clock.
+    milliseconds leaseUntil { 0 };
+    TimePoint restartedAt {}; ///< when a report showed that the VM had restarted under its id; zero: never
     Resources used; ///< reserved by all runs that are not known to have ended
     std::set<TaskId> runs;
     /// Runs that this holder neither started nor adopted, with the time of the next stop command, see
@@ -128,6 +130,10 @@
     /// Lease of the tasks on a VM. It is longer than a takeover takes: 2 s until the old holder's
     /// lease expires, then one load of its records.
     milliseconds vmLease { 4500 };
+    /// Longest lease that VMs grant. They shorten the lease in a command to it.
+    milliseconds maxVmLease { 4500 };
+    /// How long after it was sent a command may still be carried out.
+    milliseconds maxCommandDelay { 10000 };
     /// Slowest rate of a VM's clock. It may run slow by 2%; the rest covers the rounding to milliseconds.
     double minVmClockRate = 0.975;
     /// How often a VM without runs reports. Its lease is computed for the slowest clock, so the longer ago
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -83,6 +83,7 @@
     m_begun = true;
     const auto now = m_context.clock.now();
     m_startsUnlimitedAt = now;
+    m_state.limits.maxVmLease = m_maxVmLease;
     m_state.limits.vmLease = std::min(m_state.limits.vmLease, m_maxVmLease);
     if (m_state.term > 0) {
         const auto longestLease = std::chrono::duration<double, std::milli>(m_state.limits.vmLease)
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -181,6 +181,20 @@
     adoptRun(state, vm, report, now);
 }
 
+/// Raises VmState::leaseUntil if the VM may have a lease that this holder has not granted.
+void recordUnknownLease(VmState& vm, const VmReport& report, const PoolLimits& limits, TimePoint now)
+{
+    const bool isAdopted = !vm.hasReported && !report.running.empty();
+    const bool isRestarted = vm.hasReported && vm.bootTime != report.bootTime;
+    if (isRestarted)
+        vm.restartedAt = now;
+    // The lease end in a command for the earlier boot is far ahead on the new boot's clock.
+    const bool mayGetEarlierCommands
+        = vm.restartedAt != TimePoint {} && now - vm.restartedAt < limits.maxCommandDelay;
+    if (isAdopted || mayGetEarlierCommands)
+        vm.leaseUntil = std::max(vm.leaseUntil, report.vmClock + limits.maxVmLease);
+}
+
 /// Releases runs that the VM does not list any more. Before the heartbeat was sent, it must have confirmed
 /// the run, or its stop, after which a delayed start command can no longer take effect.
 void releaseMissing(PoolState& state, VmState& vm, const std::set<TaskId>& listed, TimePoint sentAt)
@@ -212,6 +226,7 @@
         vm.applied = vm.acknowledged = 0;
         vm.leaseUntil = milliseconds(0);
     }
+    recordUnknownLease(vm, report, state.limits, now);
     vm.bootTime = report.bootTime;
     vm.isUnresponsive = false;
     vm.hasReported = true;
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -205,8 +205,9 @@
 {
     // From a later estimate of its clock, a slow VM would get a longer lease than a new holder waits for.
     const auto clock = std::chrono::floor<milliseconds>(earliestClock(vm, limits, now));
-    vm.leaseUntil = std::max(vm.leaseUntil, clock + limits.vmLease);
-    return vm.leaseUntil;
+    const auto end = clock + limits.vmLease;
+    vm.leaseUntil = std::max(vm.leaseUntil, end);
+    return end;
 }
 
 bool isReportDue(const VmState& vm, const PoolLimits& limits, TimePoint now)
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -605,4 +605,85 @@
     BOOST_TEST(isReportDue(vm, state.limits, clock.now()));
 }
 
+// A VM that fell silent after its first report to a new holder lost its adopted runs at once, while the lease
+// that the earlier holder had granted still ran.
+BOOST_AUTO_TEST_CASE(adoptedRunsOfASilentVmAreKeptForTheLongestLease)
+{
+    state.term = 1;
+    state.limits.maxVmLease = 6s;
+    submit("j1", { makeStep(1) }, true);
+    addVm("v1", 4000, "r1", false);
+    VmReport first;
+    first.bootTime = 1;
+    first.vmClock = 100s;
+    first.running.push_back({ { "j1", 0, 0, 0 }, 7, "", 30, 0 });
+    applyReport(state, "v1", first, clock.now(), clock.now());
+    BOOST_REQUIRE(task("j1", 0, 0).run);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(6120ms); // the clock may run 2% slow
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(100ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
+// A next holder waits for the leases that commands grant, so they must stay below the longest.
+BOOST_AUTO_TEST_CASE(leaseInACommandIsNotLongerAfterAFirstReport)
+{
+    state.term = 1;
+    state.limits.maxVmLease = 6s;
+    submit("j1", { makeStep(1) }, true);
+    addVm("v1", 4000, "r1", false);
+    VmReport first;
+    first.bootTime = 1;
+    first.vmClock = 100s;
+    first.running.push_back({ { "j1", 0, 0, 0 }, 7, "", 30, 0 });
+    applyReport(state, "v1", first, clock.now(), clock.now());
+    const auto heartbeat = planHeartbeat(state.vms.at("v1"), state.limits, clock.now());
+    BOOST_TEST((heartbeat.leaseUntil - 100s).count() == state.limits.vmLease.count());
+}
+
+// The clock of a restarted VM starts anew. A command for its earlier boot carries a lease end far ahead,
+// which the VM cuts to its longest lease.
+BOOST_AUTO_TEST_CASE(runsOfARestartedVmAreKeptForTheLongestLease)
+{
+    state.limits.maxVmLease = 6s;
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    reportEmpty("v1", 2);
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    advance(6s);
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(200ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
+// The same, carried out seconds after the report that shows the restart.
+BOOST_AUTO_TEST_CASE(commandForAnEarlierBootExtendsTheLeaseToTheLongest)
+{
+    state.limits.maxVmLease = 10s;
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    reportEmpty("v1", 2);
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    advance(3s);
+    report("v1", {}, 2);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    advance(10s);
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(300ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
