Send no starts to a VM that has restarted under its id, and assume its longest lease

Cause: until its first report after a restart under the same id, a VM got starts with a lease end on the clock of its earlier boot. That is far ahead on the new clock, so the VM cut it to its longest lease (hold_max_ms, 6 or 10 s), while the holder assumed vmLease (4.5 s). An idle VM is not called, so its restart could go unnoticed until the next start. Found by reading, not seen in a run. Ruled out: assuming the longest lease for every VM: a crashed VM's tasks would restart later in each case. A VM with runs has a heartbeat open, which fails when the VM ends. Change: listVm() marks a VM as unresponsive whose registered boot time is later than the reported one, so that it gets neither starts nor a lease before its next report. An earlier or unknown boot time changes nothing. extendLease() raises leaseUntil to the longest lease if the VM is unresponsive or its last report is older than 2 s; the end in the command stays the same. Tests: vmWhoseRegistrationShowsARestartGetsNoStartsBeforeItsReport failed before (starts planned, lease 3604500 instead of 0); runOfAVmThatMayHaveRestartedIsKeptForTheLongestLease failed before 6.12 s after the start. lateRegistrationOfAnEarlierBootDoesNotStopStarts passed before and guards the comparison. Conclusion: open is a VM that restarts within 2 s of a report without a failing call.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -132,6 +132,9 @@
     milliseconds vmLease { 4500 };
     /// Longest lease that VMs grant. They shorten the lease in a command to it.
     milliseconds maxVmLease { 4500 };
+    /// A VM whose last report is older may have restarted under its id. The failing heartbeat of a VM with
+    /// runs shows its end earlier.
+    milliseconds maxReportAge { 2000 };
     /// How long after it was sent a command may still be carried out.
     milliseconds maxCommandDelay { 10000 };
     /// Slowest rate of a VM's clock. It may run slow by 2%; the rest covers the rounding to milliseconds.
@@ -205,7 +208,8 @@
 void recordArrival(PoolState& state, const JobSpec& job, TimePoint now);
 /// Cancels a job; its runs are stopped by the next planStops().
 void cancelJob(PoolState& state, std::string_view id);
-/// Adds or changes a VM as the registry lists it.
+/// Adds or changes a VM as the registry lists it. A VM that has restarted under its id gets no tasks and no
+/// lease before its next report.
 void listVm(PoolState& state, const VmRegistration& entry);
 /// Marks a VM that the registry no longer lists. expireLeases() removes it.
 void unlistVm(PoolState& state, std::string_view id);
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -166,6 +166,9 @@
     auto& vm = it->second;
     vm.isRegistered = true;
     vm.entry = entry;
+    // A registration of an earlier boot may arrive late.
+    if (vm.hasReported && vm.bootTime != 0 && entry.bootTime > vm.bootTime)
+        vm.isUnresponsive = true;
 }
 
 void unlistVm(PoolState& state, std::string_view id)
@@ -199,6 +202,12 @@
     return vm.reportedClock + (now - vm.clockReportedAt) * limits.minVmClockRate;
 }
 
+/// Whether the VM may have restarted under its id since its last report.
+bool mayHaveRestarted(const VmState& vm, const PoolLimits& limits, TimePoint now)
+{
+    return vm.isUnresponsive || now - vm.clockReportedAt > limits.maxReportAge;
+}
+
 } // namespace
 
 milliseconds extendLease(VmState& vm, const PoolLimits& limits, TimePoint now)
@@ -206,7 +215,9 @@
     // From a later estimate of its clock, a slow VM would get a longer lease than a new holder waits for.
     const auto clock = std::chrono::floor<milliseconds>(earliestClock(vm, limits, now));
     const auto end = clock + limits.vmLease;
-    vm.leaseUntil = std::max(vm.leaseUntil, end);
+    // A VM that has restarted cuts the lease to its longest, since the end is far ahead on its new clock.
+    vm.leaseUntil
+        = std::max(vm.leaseUntil, mayHaveRestarted(vm, limits, now) ? clock + limits.maxVmLease : end);
     return end;
 }
 
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -686,4 +686,56 @@
     BOOST_TEST(!task("j1", 0, 0).run.has_value());
 }
 
+// A start that was sent before the holder knew of the restart carried a lease end far ahead on the clock of
+// the new boot.
+BOOST_AUTO_TEST_CASE(vmWhoseRegistrationShowsARestartGetsNoStartsBeforeItsReport)
+{
+    addVm("v1");
+    submit("j1", { makeStep(2) });
+    BOOST_REQUIRE(startAndAccept().size() == 2u);
+    auto restarted = state.vms.at("v1").entry;
+    restarted.bootTime = 2;
+    listVm(state, restarted);
+    submit("j2", { makeStep(1) });
+    BOOST_TEST(starts().empty());
+    BOOST_TEST(planHeartbeat(state.vms.at("v1"), state.limits, clock.now()).leaseUntil.count() == 0);
+    BOOST_TEST(isReportDue(state.vms.at("v1"), state.limits, clock.now()));
+    reportEmpty("v1", 2);
+    listVm(state, restarted);
+    BOOST_TEST(!starts().empty());
+}
+
+BOOST_AUTO_TEST_CASE(lateRegistrationOfAnEarlierBootDoesNotStopStarts)
+{
+    addVm("v1");
+    auto earlier = state.vms.at("v1").entry;
+    earlier.bootTime = 1;
+    reportEmpty("v1", 2);
+    listVm(state, earlier);
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    earlier.bootTime = 0; // unknown
+    listVm(state, earlier);
+    BOOST_TEST(planHeartbeat(state.vms.at("v1"), state.limits, clock.now()).leaseUntil.count() > 0);
+}
+
+// An idle VM that restarted unnoticed cut the lease of its next run to its longest, not to that of the
+// command.
+BOOST_AUTO_TEST_CASE(runOfAVmThatMayHaveRestartedIsKeptForTheLongestLease)
+{
+    state.limits.maxVmLease = 6s;
+    addVm("v1");
+    advance(15s);
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    advance(6120ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(100ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
