Acknowledge no ends of a VM that may have restarted

Cause: heartbeats repeated the number of the last durable end. A VM that restarts under its id numbers its ends anew, so a heartbeat sent before the holder knew of the restart made it forget ends that no report had listed. A task that was done then counts as not done and runs again (TWICE). Found by reading, not seen in a run. Ruled out: comparing boot times alone: the registration of the new boot may come after the heartbeat. After a heartbeat without a response the acknowledgement counts as not sent, so the next one that may carry it follows at once; a successful heartbeat without one doesn't repeat an earlier acknowledgement. Tests: endsOfAVmThatMayHaveRestartedAreNotAcknowledged failed before (57 != 0, twice). The repetition in PoolHolder has no test, since no test drives a PoolHolder. Conclusion: costs one more heartbeat after each one that failed.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -74,7 +74,8 @@
         bool isInFlight = false;
         TimePoint nextHeartbeatAt {};
         TimePoint ackPendingSince {}; ///< zero: no heartbeat waits for ends to become durable
-        std::uint64_t lastAckSent = 0; ///< highest EndReport::number that a heartbeat has acknowledged
+        /// Highest EndReport::number that a heartbeat has acknowledged; 0 after one without a response.
+        std::uint64_t lastAckSent = 0;
     };
 
     void requestMachineList();
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -4,6 +4,8 @@
 #include <damaskworks/pool_holder.h>
 #include <damaskworks/pool_plan.h>
 
+#include <algorithm>
+
 namespace damask::fleet {
 namespace {
 
@@ -145,7 +147,7 @@
     const auto command = planHeartbeat(vm, m_state.limits, now);
     heartbeatState.isInFlight = true;
     heartbeatState.ackPendingSince = TimePoint {};
-    heartbeatState.lastAckSent = vm.acknowledged;
+    heartbeatState.lastAckSent = std::max(heartbeatState.lastAckSent, command.acknowledged);
     m_context.metrics.count("vm_holds_total{pool=\"" + m_state.pool + "\"}");
     m_context.endpoints.heartbeat(makeTarget(vm), command,
         [this, name, now, alive = m_alive](tl::expected<VmReport, CommandOutcome> report) {
@@ -172,6 +174,7 @@
                     { "runs", std::to_string(vm.runs.size()) } });
         markUnresponsive(m_state, name);
         handleCommandOutcome(name, report.error());
+        heartbeatState.lastAckSent = 0;
         heartbeatState.nextHeartbeatAt = now + heartbeatRetryDelay;
         return scheduleReconcile(heartbeatRetryDelay);
     }
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -230,7 +230,9 @@
 HeartbeatCommand planHeartbeat(VmState& vm, const PoolLimits& limits, TimePoint now)
 {
     HeartbeatCommand command;
-    command.acknowledged = vm.acknowledged;
+    // The ends of a new boot have the same numbers.
+    if (!mayHaveRestarted(vm, limits, now))
+        command.acknowledged = vm.acknowledged;
     // The lease of an unresponsive VM is not renewed, so that its tasks can be released once it expires.
     if (!vm.hasReported || vm.isUnresponsive || vm.runs.empty())
         return command;
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -738,4 +738,20 @@
     BOOST_TEST(!task("j1", 0, 0).run.has_value());
 }
 
+// The numbers of ends start anew at a restart: an acknowledgement for the earlier boot made the VM forget
+// ends that no report had listed, so a task that was done could run again.
+BOOST_AUTO_TEST_CASE(endsOfAVmThatMayHaveRestartedAreNotAcknowledged)
+{
+    addVm("v1");
+    auto& vm = state.vms.at("v1");
+    vm.applied = vm.acknowledged = 57;
+    BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 57u);
+    markUnresponsive(state, "v1");
+    BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 0u);
+    report("v1");
+    BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 57u);
+    advance(state.limits.idleReportInterval);
+    BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
