Ignore a wrong-VM response from an address that the VM has left

Cause: a response of another VM at the address of a command counted as the end of the VM, with leaseUntil set to 0 and its runs released at once. Found by reading, not seen. Ruled out: ignoring the response altogether: at the VM's current address it is the fastest sign that the VM has ended. Change: applyWrongVm() compares the address that the command was sent to with the registered one; PoolHolder passes the target on. Tests: wrongVmAtAnEarlierAddressDoesNotReleaseRuns failed before (no run left). Conclusion: the start or heartbeat itself still counts as not carried out.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -91,15 +91,16 @@
     void sendHeartbeats(TimePoint now);
     bool needsHeartbeat(const VmState& vm, HeartbeatState& heartbeatState, TimePoint now);
     void sendHeartbeat(const std::string& name, VmState& vm, HeartbeatState& heartbeatState, TimePoint now);
-    void onReport(const std::string& name, tl::expected<VmReport, CommandOutcome> report, TimePoint sentAt);
+    void onReport(const VmTarget& target, tl::expected<VmReport, CommandOutcome> report, TimePoint sentAt);
     void onSpecRead(const std::string& job, std::string spec);
-    void onStartOutcome(const StartAction& start, CommandOutcome outcome, TimePoint sentAt);
+    void onStartOutcome(
+        const VmTarget& target, const StartAction& start, CommandOutcome outcome, TimePoint sentAt);
     /// Updates PoolState::areStartsLimited. \p isLimited: the window left tasks waiting.
     void recordStartLimit(bool isLimited, TimePoint now);
     /// Starts that are planned and not yet answered.
     int outstandingStarts() const;
     void sendThrottleCommands(const std::string& name, TimePoint now);
-    void handleCommandOutcome(const std::string& vm, CommandOutcome outcome);
+    void handleCommandOutcome(const VmTarget& target, CommandOutcome outcome);
     VmTarget makeTarget(const VmState& vm) const;
     LedgerBatch collectBatch();
     void onCommitted(const LedgerBatch& batch);
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -222,6 +222,9 @@
 void setEvacuation(VmState& vm, const std::string& task);
 /// Marks a VM whose last call got no response.
 void markUnresponsive(PoolState& state, std::string_view vm);
+/// Applies CommandOutcome::WrongVm: another VM responded at \p address, to which the command was sent. The VM
+/// has ended, and all its runs with it, unless it is registered at another address by now.
+void applyWrongVm(PoolState& state, std::string_view vm, const Address& address);
 /// Applies the outcome of a start command.
 void applyStartOutcome(PoolState& state, std::string_view vm, const TaskId& task, std::uint32_t run,
     CommandOutcome outcome, TimePoint now);
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -25,40 +25,34 @@
     return { vm.entry.address, vm.entry.id, m_ledger.fencingToken() };
 }
 
-void PoolHolder::handleCommandOutcome(const std::string& vm, CommandOutcome outcome)
+void PoolHolder::handleCommandOutcome(const VmTarget& target, CommandOutcome outcome)
 {
     if (outcome == CommandOutcome::Superseded) {
         logEvent(LogLevel::Warning, "order_superseded",
-            { { "pool", m_state.pool }, { "vm", vm }, { "fence", std::to_string(m_ledger.fencingToken()) } });
+            { { "pool", m_state.pool }, { "vm", target.vm },
+                { "fence", std::to_string(m_ledger.fencingToken()) } });
         m_ledger.raiseFencingToken();
     }
-    if (outcome == CommandOutcome::WrongVm) {
-        // The VM has ended, and all its runs with it.
-        auto found = m_state.vms.find(vm);
-        if (found == m_state.vms.end())
-            return;
-        found->second.isRegistered = false;
-        found->second.isUnresponsive = true;
-        found->second.leaseUntil = milliseconds(0);
-    }
+    if (outcome == CommandOutcome::WrongVm)
+        applyWrongVm(m_state, target.vm, target.address);
 }
 
 void PoolHolder::sendStops(TimePoint now)
 {
     const auto maxStops = freeCommands(m_commandWindow, m_stopsInFlight);
     for (const auto& stop : planStops(m_state, now, maxStops)) {
-        const auto& vm = m_state.vms.find(stop.vm)->second;
+        const auto target = makeTarget(m_state.vms.find(stop.vm)->second);
         logEvent(LogLevel::Info, "task_stop",
             { { "task", toString(stop.task) }, { "run", std::to_string(stop.run) }, { "vm", stop.vm } });
         ++m_stopsInFlight;
         m_context.endpoints.stop(
-            makeTarget(vm), stop.task, stop.run, [this, stop, now, alive = m_alive](CommandOutcome outcome) {
+            target, stop.task, stop.run, [this, target, stop, now, alive = m_alive](CommandOutcome outcome) {
                 if (!*alive || m_ended)
                     return;
                 const auto elapsed = m_context.clock.now() - now;
                 recordCommandEnd(m_commandWindow, elapsed, m_stopsInFlight, m_context.clock.now());
                 --m_stopsInFlight;
-                handleCommandOutcome(stop.vm, outcome);
+                handleCommandOutcome(target, outcome);
                 applyStopOutcome(m_state, stop.vm, stop.task, stop.run, outcome, m_context.clock.now());
                 scheduleReconcile(reconcileDelay);
             });
@@ -72,13 +66,13 @@
     auto planned = planStarts(m_state, now, wallNow, maxStarts);
     recordStartLimit(static_cast<int>(planned.size()) >= maxStarts, now);
     for (const auto& start : takeReadyStarts(m_state, m_waitingStarts, std::move(planned), now)) {
-        const auto& vm = m_state.vms.find(start.vm)->second;
+        const auto target = makeTarget(m_state.vms.find(start.vm)->second);
         ++m_startsInFlight;
         m_context.metrics.count("task_starts_total{pool=\"" + m_state.pool + "\"}");
         m_context.endpoints.start(
-            makeTarget(vm), start.command, [this, start, now, alive = m_alive](CommandOutcome outcome) {
+            target, start.command, [this, target, start, now, alive = m_alive](CommandOutcome outcome) {
                 if (*alive && !m_ended)
-                    onStartOutcome(start, outcome, now);
+                    onStartOutcome(target, start, outcome, now);
             });
     }
 }
@@ -92,7 +86,8 @@
 
 int PoolHolder::outstandingStarts() const { return m_startsInFlight + countWaiting(m_waitingStarts); }
 
-void PoolHolder::onStartOutcome(const StartAction& start, CommandOutcome outcome, TimePoint sentAt)
+void PoolHolder::onStartOutcome(
+    const VmTarget& target, const StartAction& start, CommandOutcome outcome, TimePoint sentAt)
 {
     const auto now = m_context.clock.now();
     recordCommandEnd(m_commandWindow, now - sentAt, outstandingStarts(), now);
@@ -104,7 +99,7 @@
         { { "task", toString(start.command.task) }, { "run", std::to_string(start.command.run) },
             { "vm", start.vm }, { "fence", std::to_string(m_ledger.fencingToken()) },
             { "outcome", std::string(nameOf(commandOutcomeNames, outcome)) } });
-    handleCommandOutcome(start.vm, outcome);
+    handleCommandOutcome(target, outcome);
     applyStartOutcome(m_state, start.vm, start.command.task, start.command.run, outcome, now);
     const bool mayPlanMore = freeCommands(m_commandWindow, outstandingStarts()) > 0;
     if (outcome != CommandOutcome::Accepted || mayPlanMore)
@@ -149,16 +144,18 @@
     heartbeatState.ackPendingSince = TimePoint {};
     heartbeatState.lastAckSent = std::max(heartbeatState.lastAckSent, command.acknowledged);
     m_context.metrics.count("vm_holds_total{pool=\"" + m_state.pool + "\"}");
-    m_context.endpoints.heartbeat(makeTarget(vm), command,
-        [this, name, now, alive = m_alive](tl::expected<VmReport, CommandOutcome> report) {
+    const auto target = makeTarget(vm);
+    m_context.endpoints.heartbeat(
+        target, command, [this, target, now, alive = m_alive](tl::expected<VmReport, CommandOutcome> report) {
             if (*alive && !m_ended)
-                onReport(name, std::move(report), now);
+                onReport(target, std::move(report), now);
         });
 }
 
 void PoolHolder::onReport(
-    const std::string& name, tl::expected<VmReport, CommandOutcome> report, TimePoint sentAt)
+    const VmTarget& target, tl::expected<VmReport, CommandOutcome> report, TimePoint sentAt)
 {
+    const auto& name = target.vm;
     const auto now = m_context.clock.now();
     auto& heartbeatState = m_heartbeatStates[name];
     heartbeatState.isInFlight = false;
@@ -173,7 +170,7 @@
                     { "outcome", std::string(nameOf(commandOutcomeNames, report.error())) },
                     { "runs", std::to_string(vm.runs.size()) } });
         markUnresponsive(m_state, name);
-        handleCommandOutcome(name, report.error());
+        handleCommandOutcome(target, report.error());
         heartbeatState.lastAckSent = 0;
         heartbeatState.nextHeartbeatAt = now + heartbeatRetryDelay;
         return scheduleReconcile(heartbeatRetryDelay);
@@ -206,14 +203,14 @@
 void PoolHolder::sendThrottleCommands(const std::string& name, TimePoint now)
 {
     for (const auto& throttle : planThrottling(m_state, name, now)) {
-        const auto& vm = m_state.vms.find(name)->second;
+        const auto target = makeTarget(m_state.vms.find(name)->second);
         logEvent(LogLevel::Info, "task_pace",
             { { "task", toString(throttle.task) }, { "vm", name },
                 { "percent", std::to_string(throttle.percent) } });
-        m_context.endpoints.throttle(makeTarget(vm), throttle.task, throttle.run, throttle.percent,
-            [this, name, alive = m_alive](CommandOutcome outcome) {
+        m_context.endpoints.throttle(target, throttle.task, throttle.run, throttle.percent,
+            [this, target, alive = m_alive](CommandOutcome outcome) {
                 if (*alive && !m_ended)
-                    handleCommandOutcome(name, outcome);
+                    handleCommandOutcome(target, outcome);
             });
     }
 }
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -193,6 +193,17 @@
         found->second.isUnresponsive = true;
 }
 
+void applyWrongVm(PoolState& state, std::string_view name, const Address& address)
+{
+    const auto found = state.vms.find(name);
+    if (found == state.vms.end() || found->second.entry.address != address)
+        return;
+    auto& vm = found->second;
+    vm.isRegistered = false;
+    vm.isUnresponsive = true;
+    vm.leaseUntil = milliseconds(0);
+}
+
 namespace {
 
 /// The least that the VM's clock can show now, if the VM has not restarted since its last report.
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -754,4 +754,23 @@
     BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 0u);
 }
 
+// A command to an address that the VM had left was answered by another VM there; the runs of the VM, alive at
+// its new address, were released.
+BOOST_AUTO_TEST_CASE(wrongVmAtAnEarlierAddressDoesNotReleaseRuns)
+{
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    const Address earlier { "10.0.0.1", 80 };
+    auto entry = state.vms.at("v1").entry;
+    entry.address = { "10.0.0.2", 80 };
+    listVm(state, entry);
+    applyWrongVm(state, "v1", earlier);
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    applyWrongVm(state, "v1", entry.address);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
