--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -128,7 +128,12 @@
     std::int64_t bootTime = 0; ///< boot time, see VmReport; differs after a reboot
     milliseconds reportedClock { 0 }; ///< the VM's clock in its last report
     TimePoint clockReportedAt {}; ///< when that report arrived, on this node's clock
-    milliseconds leaseUntil { 0 }; ///< latest lease end sent in any command, on the VM's clock
+    /// Latest end of a lease that a command of any holder can have granted, on the VM's clock.
+    milliseconds leaseUntil { 0 };
+    /// The same if the VM had restarted before the command arrived, until a report shows that it had not.
+    milliseconds unconfirmedLeaseUntil { 0 };
+    TimePoint unconfirmedLeaseAt {}; ///< when that command was sent
+    TimePoint restartedAt {}; ///< when a report showed that the VM had restarted under its id; zero: never
     Resources used; ///< reserved by all runs that are not known to have ended
     std::set<TaskId> runs;
     /// Runs that this holder neither started nor adopted, with the time of the next stop command, see
@@ -154,8 +159,18 @@
     /// Lease of the tasks on a VM. It is longer than a takeover takes: 2 s until the old holder's
     /// lease expires, then one load of its records.
     milliseconds vmLease { 4500 };
+    /// Longest lease that VMs grant. They shorten the lease in a command to it.
+    milliseconds maxVmLease { 4500 };
+    /// A VM whose last report is older may have restarted under its id. The failing heartbeat of a VM with
+    /// runs shows its end earlier.
+    milliseconds maxReportAge { 2000 };
+    /// How long after it was sent a command may still be carried out.
+    milliseconds maxCommandDelay { 10000 };
     /// Slowest rate of a VM's clock. It may run slow by 2%; the rest covers the rounding to milliseconds.
     double minVmClockRate = 0.975;
+    /// How often a VM without runs reports. Its lease is computed for the slowest clock, so the longer ago
+    /// its last report, the shorter its lease.
+    milliseconds idleReportInterval { 20000 };
     milliseconds stopRetryDelay { 400 }; ///< twice the time that a VM may take to stop a task
     /// How long the runs of a silent VM that is still registered are kept after its lease has expired. It is
     /// alive, so a run may have ended before the expiry, which only its report can show.
@@ -262,7 +277,8 @@
 void recordArrival(PoolState& state, const JobSpec& job, TimePoint now);
 /// Cancels a job; its runs are stopped by the next planStops().
 void cancelJob(PoolState& state, std::string_view id);
-/// Adds or changes a VM as the registry lists it.
+/// Adds or changes a VM as the registry lists it. A VM that has restarted under its id gets no tasks and no
+/// lease before its next report.
 void listVm(PoolState& state, const VmRegistration& entry);
 /// Marks a VM that the registry no longer lists. expireLeases() removes it.
 void unlistVm(PoolState& state, std::string_view id);
@@ -275,6 +291,9 @@
 void setEvacuation(VmState& vm, const std::string& task);
 /// Marks a VM whose last call got no response.
 void markUnresponsive(PoolState& state, std::string_view vm);
+/// Applies CommandOutcome::WrongVm: another VM responded at \p address, to which the command was sent. The VM
+/// has ended, and all its runs with it, unless it is registered at another address by now.
+void applyWrongVm(PoolState& state, std::string_view vm, const Address& address);
 /// Applies the outcome of a start command.
 void applyStartOutcome(PoolState& state, std::string_view vm, const TaskId& task, std::uint32_t run,
     CommandOutcome outcome, TimePoint now);
@@ -295,6 +314,8 @@
 /// Whether the lease of every run on the VM has expired, even if the VM's clock is at its slowest.
 bool isLeaseExpired(const VmState& vm, const PoolLimits& limits, TimePoint now);
 
+/// Whether the VM is to be asked for a report even if no end waits for its acknowledgement.
+bool isReportDue(const VmState& vm, const PoolLimits& limits, TimePoint now);
 /// The next heartbeat for the VM, which asks for its report. Renews the lease of its runs if the VM responds.
 HeartbeatCommand planHeartbeat(VmState& vm, const PoolLimits& limits, TimePoint now);
 
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -12,6 +12,8 @@
 
 /// Longest time between calls of reconcile() while there are jobs or evacuations, whose timeouts it checks.
 constexpr milliseconds reconcileInterval { 100 };
+/// The same for a pool without either, whose VMs report now and then.
+constexpr milliseconds idleReconcileInterval { 5000 };
 /// Shortest time between two sums of the load, which visit every run of the pool.
 constexpr milliseconds loadCheckInterval { 30 };
 /// Shortest time between two writes of the pool's load.
@@ -81,6 +83,7 @@
     m_begun = true;
     const auto now = m_context.clock.now();
     m_startsUnlimitedAt = now;
+    m_state.limits.maxVmLease = m_maxVmLease;
     m_state.limits.vmLease = std::min(m_state.limits.vmLease, m_maxVmLease);
     if (m_state.term > 0) {
         const auto longestLease = std::chrono::duration<double, std::milli>(m_state.limits.vmLease)
@@ -250,8 +253,8 @@
     removeEndedJobs();
     markDirtyIfNeeded();
     publishLoad(now);
-    if (!m_state.jobs.empty() || !m_evacuations.empty())
-        scheduleReconcile(reconcileInterval);
+    const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
+    scheduleReconcile(isIdle ? idleReconcileInterval : reconcileInterval);
 }
 
 void PoolHolder::markDirtyIfNeeded()
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -206,6 +206,23 @@
     }
 }
 
+/// Raises VmState::leaseUntil if the VM may have a lease that this holder has not granted.
+void recordUnknownLease(
+    VmState& vm, const VmReport& report, const PoolLimits& limits, TimePoint sentAt, TimePoint now)
+{
+    const bool isAdopted = !vm.hasReported && !report.running.empty();
+    const bool isRestarted = vm.hasReported && vm.bootTime != report.bootTime;
+    if (isRestarted)
+        vm.restartedAt = now;
+    if (isRestarted || sentAt >= vm.unconfirmedLeaseAt)
+        vm.unconfirmedLeaseUntil = milliseconds(0);
+    // The lease end in a command for the earlier boot is far ahead on the new boot's clock.
+    const bool mayGetEarlierCommands
+        = vm.restartedAt != TimePoint {} && now - vm.restartedAt < limits.maxCommandDelay;
+    if (isAdopted || mayGetEarlierCommands)
+        vm.leaseUntil = std::max(vm.leaseUntil, report.vmClock + limits.maxVmLease);
+}
+
 /// Releases runs that the VM does not list any more. Before the heartbeat was sent, it must have confirmed
 /// the run, or its stop, after which a delayed start command can no longer take effect.
 void releaseMissing(
@@ -243,6 +260,7 @@
         attributeCrash(state, vm, survivors);
         resetForRestart(state, vm, now);
     }
+    recordUnknownLease(vm, report, state.limits, sentAt, now);
     vm.bootTime = report.bootTime;
     vm.isUnresponsive = false;
     vm.hasReported = true;
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -174,6 +174,9 @@
     auto& vm = it->second;
     vm.isRegistered = true;
     vm.entry = entry;
+    // A registration of an earlier boot may arrive late.
+    if (vm.hasReported && vm.bootTime != 0 && entry.bootTime > vm.bootTime)
+        vm.isUnresponsive = true;
 }
 
 void unlistVm(PoolState& state, std::string_view id)
@@ -200,17 +203,60 @@
     markAtRisk(state, found->second);
 }
 
+void applyWrongVm(PoolState& state, std::string_view name, const Address& address)
+{
+    const auto found = state.vms.find(name);
+    if (found == state.vms.end() || found->second.entry.address != address)
+        return;
+    auto& vm = found->second;
+    vm.isRegistered = false;
+    vm.isUnresponsive = true;
+    vm.leaseUntil = vm.unconfirmedLeaseUntil = milliseconds(0);
+}
+
+namespace {
+
+/// The least that the VM's clock can show now, if the VM has not restarted since its last report.
+std::chrono::duration<double, std::milli> earliestClock(
+    const VmState& vm, const PoolLimits& limits, TimePoint now)
+{
+    return vm.reportedClock + (now - vm.clockReportedAt) * limits.minVmClockRate;
+}
+
+/// Whether the VM may have restarted under its id since its last report.
+bool mayHaveRestarted(const VmState& vm, const PoolLimits& limits, TimePoint now)
+{
+    return vm.isUnresponsive || now - vm.clockReportedAt > limits.maxReportAge;
+}
+
+} // namespace
+
 milliseconds extendLease(VmState& vm, const PoolLimits& limits, TimePoint now)
 {
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - vm.clockReportedAt);
-    vm.leaseUntil = std::max(vm.leaseUntil, vm.reportedClock + elapsed + limits.vmLease);
-    return vm.leaseUntil;
+    // From a later estimate of its clock, a slow VM would get a longer lease than a new holder waits for.
+    const auto clock = std::chrono::floor<milliseconds>(earliestClock(vm, limits, now));
+    const auto end = clock + limits.vmLease;
+    // A VM that has restarted cuts the lease to its longest, since the end is far ahead on its new clock.
+    if (mayHaveRestarted(vm, limits, now)) {
+        vm.unconfirmedLeaseUntil = clock + limits.maxVmLease;
+        vm.unconfirmedLeaseAt = now;
+    }
+    vm.leaseUntil = std::max(vm.leaseUntil, end);
+    return end;
+}
+
+bool isReportDue(const VmState& vm, const PoolLimits& limits, TimePoint now)
+{
+    return !vm.hasReported || vm.isUnresponsive || !vm.runs.empty() || !vm.orphanRuns.empty()
+        || now - vm.clockReportedAt >= limits.idleReportInterval;
 }
 
 HeartbeatCommand planHeartbeat(VmState& vm, const PoolLimits& limits, TimePoint now)
 {
     HeartbeatCommand command;
-    command.acknowledged = vm.acknowledged;
+    // The ends of a new boot have the same numbers.
+    if (!mayHaveRestarted(vm, limits, now))
+        command.acknowledged = vm.acknowledged;
     // The lease of an unresponsive VM is not renewed, so that its tasks can be released once it expires.
     if (!vm.hasReported || vm.isUnresponsive || vm.runs.empty())
         return command;
@@ -224,9 +270,7 @@
 {
     if (!vm.hasReported)
         return false;
-    const auto elapsed = std::chrono::duration<double, std::milli>(now - vm.clockReportedAt);
-    return static_cast<double>(vm.reportedClock.count()) + elapsed.count() * limits.minVmClockRate
-        > static_cast<double>(vm.leaseUntil.count());
+    return earliestClock(vm, limits, now) > std::max(vm.leaseUntil, vm.unconfirmedLeaseUntil);
 }
 
 void expireLeases(PoolState& state, TimePoint now)
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -723,4 +723,218 @@
     BOOST_TEST(forecast <= 210'000);
 }
 
+// A VM without runs is not asked for reports for a while, and its clock may run 2% slow: after a minute its
+// lease was 1.2 s longer than a new holder waits.
+BOOST_AUTO_TEST_CASE(leaseOfAnIdleVmWithASlowClockIsNotTooLong)
+{
+    addVm("v1");
+    auto& vm = state.vms.at("v1");
+    const auto reported = vm.reportedClock;
+    advance(60s);
+    const auto slowClock = reported + 58'800ms;
+    BOOST_TEST(
+        (extendLease(vm, state.limits, clock.now()) - slowClock).count() <= state.limits.vmLease.count());
+}
+
+BOOST_AUTO_TEST_CASE(leaseInACommandIsNeverEarlierThanOneBefore)
+{
+    addVm("v1");
+    auto& vm = state.vms.at("v1");
+    const auto first = vm.reportedClock;
+    milliseconds last { 0 };
+    for (int i = 1; i <= 3000; ++i) {
+        advance(7ms);
+        const auto lease = extendLease(vm, state.limits, clock.now());
+        BOOST_REQUIRE(lease.count() >= last.count());
+        last = lease;
+        if (i % 20 != 0)
+            continue;
+        VmReport report;
+        report.bootTime = 1;
+        report.vmClock = first + i * 7ms * 98 / 100;
+        applyReport(state, "v1", report, clock.now(), clock.now());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(idleVmReportsNowAndThen)
+{
+    addVm("v1");
+    const auto& vm = state.vms.at("v1");
+    BOOST_TEST(!isReportDue(vm, state.limits, clock.now()));
+    advance(state.limits.idleReportInterval);
+    BOOST_TEST(isReportDue(vm, state.limits, clock.now()));
+    report("v1");
+    BOOST_TEST(!isReportDue(vm, state.limits, clock.now()));
+    markUnresponsive(state, "v1");
+    BOOST_TEST(isReportDue(vm, state.limits, clock.now()));
+}
+
+// A VM that fell silent after its first report to a new holder lost its adopted runs at once, while the lease
+// that the earlier holder had granted still ran.
+BOOST_AUTO_TEST_CASE(adoptedRunsOfASilentVmAreKeptForTheLongestLease)
+{
+    state.term = 1;
+    state.limits.maxVmLease = 6s;
+    submit("j1", { makeStep(1) }, true);
+    addVm("v1", 4000, "r1", false);
+    VmReport first;
+    first.bootTime = 1;
+    first.vmClock = 100s;
+    first.running.push_back({ { "j1", 0, 0, 0 }, 7, "", 30, 0 });
+    applyReport(state, "v1", first, clock.now(), clock.now());
+    BOOST_REQUIRE(task("j1", 0, 0).run);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(6120ms); // the clock may run 2% slow
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(100ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
+// A next holder waits for the leases that commands grant, so they must stay below the longest.
+BOOST_AUTO_TEST_CASE(leaseInACommandIsNotLongerAfterAFirstReport)
+{
+    state.term = 1;
+    state.limits.maxVmLease = 6s;
+    submit("j1", { makeStep(1) }, true);
+    addVm("v1", 4000, "r1", false);
+    VmReport first;
+    first.bootTime = 1;
+    first.vmClock = 100s;
+    first.running.push_back({ { "j1", 0, 0, 0 }, 7, "", 30, 0 });
+    applyReport(state, "v1", first, clock.now(), clock.now());
+    const auto heartbeat = planHeartbeat(state.vms.at("v1"), state.limits, clock.now());
+    BOOST_TEST((heartbeat.leaseUntil - 100s).count() == state.limits.vmLease.count());
+}
+
+// The clock of a restarted VM starts anew. A command for its earlier boot carries a lease end far ahead,
+// which the VM cuts to its longest lease.
+BOOST_AUTO_TEST_CASE(runsOfARestartedVmAreKeptForTheLongestLease)
+{
+    state.limits.maxVmLease = 6s;
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    reportEmpty("v1", 2);
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    advance(6s);
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(200ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
+// The same, carried out seconds after the report that shows the restart.
+BOOST_AUTO_TEST_CASE(commandForAnEarlierBootExtendsTheLeaseToTheLongest)
+{
+    state.limits.maxVmLease = 10s;
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    reportEmpty("v1", 2);
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    advance(3s);
+    report("v1", {}, 2);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    advance(10s);
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(300ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
+// A start that was sent before the holder knew of the restart carried a lease end far ahead on the clock of
+// the new boot.
+BOOST_AUTO_TEST_CASE(vmWhoseRegistrationShowsARestartGetsNoStartsBeforeItsReport)
+{
+    addVm("v1");
+    submit("j1", { makeStep(2) });
+    BOOST_REQUIRE(startAndAccept().size() == 2u);
+    auto restarted = state.vms.at("v1").entry;
+    restarted.bootTime = 2;
+    listVm(state, restarted);
+    submit("j2", { makeStep(1) });
+    BOOST_TEST(starts().empty());
+    BOOST_TEST(planHeartbeat(state.vms.at("v1"), state.limits, clock.now()).leaseUntil.count() == 0);
+    BOOST_TEST(isReportDue(state.vms.at("v1"), state.limits, clock.now()));
+    reportEmpty("v1", 2);
+    listVm(state, restarted);
+    BOOST_TEST(!starts().empty());
+}
+
+BOOST_AUTO_TEST_CASE(lateRegistrationOfAnEarlierBootDoesNotStopStarts)
+{
+    addVm("v1");
+    auto earlier = state.vms.at("v1").entry;
+    earlier.bootTime = 1;
+    reportEmpty("v1", 2);
+    listVm(state, earlier);
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    earlier.bootTime = 0; // unknown
+    listVm(state, earlier);
+    BOOST_TEST(planHeartbeat(state.vms.at("v1"), state.limits, clock.now()).leaseUntil.count() > 0);
+}
+
+// An idle VM that restarted unnoticed cut the lease of its next run to its longest, not to that of the
+// command.
+BOOST_AUTO_TEST_CASE(runOfAVmThatMayHaveRestartedIsKeptForTheLongestLease)
+{
+    state.limits.maxVmLease = 6s;
+    addVm("v1");
+    advance(15s);
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    advance(6120ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    advance(100ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
+// The numbers of ends start anew at a restart: an acknowledgement for the earlier boot made the VM forget
+// ends that no report had listed, so a task that was done could run again.
+BOOST_AUTO_TEST_CASE(endsOfAVmThatMayHaveRestartedAreNotAcknowledged)
+{
+    addVm("v1");
+    auto& vm = state.vms.at("v1");
+    vm.applied = vm.acknowledged = 57;
+    BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 57u);
+    markUnresponsive(state, "v1");
+    BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 0u);
+    report("v1");
+    BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 57u);
+    advance(state.limits.idleReportInterval);
+    BOOST_TEST(planHeartbeat(vm, state.limits, clock.now()).acknowledged == 0u);
+}
+
+// A command to an address that the VM had left was answered by another VM there; the runs of the VM, alive at
+// its new address, were released.
+BOOST_AUTO_TEST_CASE(wrongVmAtAnEarlierAddressDoesNotReleaseRuns)
+{
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    const Address earlier { "10.0.0.1", 80 };
+    auto entry = state.vms.at("v1").entry;
+    entry.address = { "10.0.0.2", 80 };
+    listVm(state, entry);
+    applyWrongVm(state, "v1", earlier);
+    expireLeases(state, clock.now());
+    BOOST_TEST(task("j1", 0, 0).run.has_value());
+    applyWrongVm(state, "v1", entry.address);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
