Count the rows of a table as fresh only once a load is complete and confirmed

Cause: after the table has dropped its history, the first page of a reload set the time of last contact, so the rows of before the outage counted as fresh until the last page had arrived, and rows as old as the load after that. A holder then started tasks by old capacities, draining states and cancellations. Ruled out: readers of this state other than isFresh() and the confirmation of changes; the new test covers both. Change: from the start of a load until a response after it the follower is behind.

--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -55,7 +55,8 @@
         m_settings.pauseAfterChanges = pauseAfterChanges;
     }
     bool isLoaded() const { return m_isLoaded; }
-    /// Whether the last response may not have held all changes, as the first ones after an outage.
+    /// Whether the last response may not have held all changes, as the first ones after an outage. Also true
+    /// from the start of a load until a response after it: its pages are of different times.
     bool isBehind() const { return m_isBehind; }
     /// Version up to which all changes have been passed on.
     Version version() const { return m_version; }
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -103,6 +103,7 @@
     m_partsToRead.clear();
     m_loadVersion = 0;
     m_loadStartedAt = m_clock.now();
+    m_isBehind = true;
     // The version of the first response is that of the load. Following from there repeats any later change
     // that another page already contains.
     readPart("", "");
@@ -170,7 +171,7 @@
     m_needsReload = false;
     m_isLoaded = true;
     m_currentAsOf = m_loadStartedAt;
-    m_needsConfirmation = m_settings.confirmsChanges;
+    m_needsConfirmation = true;
     if (m_onReset)
         m_onReset(m_loadedRows);
     m_loadedRows.clear();
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -206,3 +206,29 @@
     BOOST_TEST(applied.size() == static_cast<std::size_t>(parts));
     BOOST_TEST(table.reads <= 2 * (parts + 1));
 }
+
+// The first page of a reload made the rows of before an outage look recent while the other pages were read.
+BOOST_FIXTURE_TEST_CASE(followerIsNotFreshWhileItReadsAllRowsAgain, FollowerFixture)
+{
+    constexpr int pages = 2;
+    for (int i = 0; i < pages * 500; ++i)
+        rows.commit(
+            { "", {}, { { "servers", "vm" + std::to_string(1000 + i), "old" } } }, 1s, [](const auto&) {});
+    TableFollower follower(loop.base(), table, clock, metrics, { "servers" }, 1);
+    listen(follower);
+    table.respond(TableRows { 1000, {} });
+    waitForRequest();
+    BOOST_TEST(isFresh(follower, clock.now(), 2000ms));
+    clock.advance(10s);
+    applied.clear();
+    table.respond(tl::make_unexpected(TableFailure::HistoryTruncated));
+    BOOST_REQUIRE(loop.runUntil([&] { return follower.lastContact() == clock.now(); }, 5s));
+    BOOST_REQUIRE(applied.empty());
+    BOOST_TEST(!isFresh(follower, clock.now(), 2000ms));
+    waitForRequest();
+    BOOST_TEST(applied.size() == 1000u);
+    BOOST_TEST(table.followWait.count() == 0); // the first page may be old by now
+    BOOST_TEST(!isFresh(follower, clock.now(), 2000ms));
+    table.respond(TableRows { 1000, {} });
+    BOOST_TEST(isFresh(follower, clock.now(), 2000ms));
+}
