--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -67,6 +67,7 @@
     std::optional<RunState> run;
     int crashes = 0; ///< VMs that crashed while the task may have run on them
     int trialCrashes = 0; ///< of these, those that crashed during the trial of its run
+    int provenTrialCrashes = 0; ///< of these, those where a later boot or another VM has responded since
     bool isSuspect = false; ///< may have caused a crash; its runs begin with a trial
     std::optional<EarlierRun> earlierRun; ///< not yet known whether it ended with a crash of its VM
 };
@@ -108,6 +109,7 @@
     bool dirty = false; ///< differs from its durable record
     std::uint64_t lastBatch = 0; ///< number of the last transaction that wrote the record; 0: none
     std::uint64_t committedBatch = 0; ///< number of the last such transaction that has committed
+    bool hasUnrecordedTrial = false; ///< a start waits for the record of its trial
     bool hasEarlierRuns = false; ///< some task may have a TaskState::earlierRun
     std::optional<JobState> recorded; ///< state last written to its row; empty: write it again
     int nextOccurrence = 0; ///< first occurrence that is not due yet
@@ -146,6 +148,7 @@
     int distinctFailedJobs = 0; ///< jobs among these failures; a job that recurs after another counts again
     TimePoint quarantinedUntil {}; ///< the VM gets no new tasks before this time
     milliseconds quarantineTime { 0 }; ///< length of the last quarantine; zero: none since the last success
+    bool hasEnded = false; ///< another VM has responded at its address
     TimePoint lastContactAt {}; ///< last response to a command or heartbeat
     TimePoint lastStartAt {}; ///< when the last start was planned or sent
     std::optional<TaskId> trialTask; ///< task whose run is on trial; the VM gets no other starts
@@ -164,6 +167,8 @@
     /// A VM whose last report is older may have restarted under its id. The failing heartbeat of a VM with
     /// runs shows its end earlier.
     milliseconds maxReportAge { 2000 };
+    /// Ends are acknowledged only to a VM whose last report is younger: a new boot numbers its ends anew.
+    milliseconds maxAcknowledgementAge { 500 };
     /// How long after it was sent a command may still be carried out.
     milliseconds maxCommandDelay { 10000 };
     /// Slowest rate of a VM's clock. It may run slow by 2%; the rest covers the rounding to milliseconds.
@@ -190,7 +195,9 @@
     /// Of a task that has outlived short trials and may have crashed several VMs nevertheless.
     milliseconds longTrial { 10000 };
     int crashesBeforeLongTrial = 2; ///< crashes outside of trials
-    int maxTrialCrashes = 2; ///< a task with as many is given up
+    int maxProvenTrialCrashes = 2; ///< a task with as many is given up
+    /// The same for all crashes during trials. A VM that is only cut off can't be told from one that is gone.
+    int maxTrialCrashes = 4;
 };
 
 /// A recently accepted job, for the arrival rate.
--- a/src/libfleet/job_progress.cpp
+++ b/src/libfleet/job_progress.cpp
@@ -34,7 +34,7 @@
             jobs.push_back(&job);
     }
     const auto rank = [](const JobEntry* job) {
-        return std::pair(job->hasRecord && !isFinal(job->state), job->lastBatch);
+        return std::pair(job->hasRecord && !isFinal(job->state) && !job->hasUnrecordedTrial, job->lastBatch);
     };
     std::stable_sort(
         jobs.begin(), jobs.end(), [&](const JobEntry* a, const JobEntry* b) { return rank(a) < rank(b); });
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -358,6 +358,7 @@
             continue;
         found->second.hasRecord = true;
         found->second.committedBatch = found->second.lastBatch;
+        found->second.hasUnrecordedTrial = false;
         if (isFinal(found->second.state) && !found->second.dirty)
             recordJobEnd(found->second);
     }
--- a/src/libscheduler/crash_attribution.cpp
+++ b/src/libscheduler/crash_attribution.cpp
@@ -1,5 +1,8 @@
 #include "crash_attribution_pvt.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace damask::fleet {
 namespace {
 
@@ -13,20 +16,29 @@
     return !stepOf(job, id.step).longRunning || run.sentAt + state.limits.longTrial >= vm.lastContactAt;
 }
 
-/// Counts a crash of \p vm during the run \p number of the task.
-void countCrash(PoolState& state, const TaskId& id, TaskState& task, const std::string& vm,
-    std::uint32_t number, RunEventKind kind)
+/// A crash of a VM as it is counted for one of its runs.
+struct CountedCrash {
+    std::string vm;
+    std::uint32_t run = 0;
+    bool isOnTrial = false;
+    bool isProven = false;
+};
+
+void countCrash(PoolState& state, const TaskId& id, TaskState& task, const CountedCrash& crash)
 {
     auto& job = state.jobs.find(id.job)->second;
     job.dirty = true;
     ++task.crashes;
-    if (kind == RunEventKind::CrashedOnTrial)
-        ++task.trialCrashes;
-    state.runEvents.push_back({ vm, id, number, kind });
-    if (task.trialCrashes < state.limits.maxTrialCrashes || isFinal(job.state))
+    task.trialCrashes += crash.isOnTrial;
+    task.provenTrialCrashes += crash.isOnTrial && crash.isProven;
+    state.runEvents.push_back(
+        { crash.vm, id, crash.run, crash.isOnTrial ? RunEventKind::CrashedOnTrial : RunEventKind::Crashed });
+    const bool isGivenUp = task.provenTrialCrashes >= state.limits.maxProvenTrialCrashes
+        || task.trialCrashes >= state.limits.maxTrialCrashes;
+    if (!isGivenUp || isFinal(job.state))
         return;
     job.state = JobState::Failed;
-    state.runEvents.push_back({ vm, id, number, RunEventKind::GivenUp });
+    state.runEvents.push_back({ crash.vm, id, crash.run, RunEventKind::GivenUp });
 }
 
 /// Calls \p function for each task of the job, with its id.
@@ -52,12 +64,22 @@
     if (task.done || (task.run && task.run->number == run.number))
         return;
     const auto vm = state.vms.find(run.vm);
+    const bool hasReported = vm != state.vms.end() && vm->second.hasReported;
     // The VM has not crashed since: the run has never started, or has ended otherwise.
-    if (vm != state.vms.end() && vm->second.hasReported && vm->second.bootTime == run.vmBootTime)
+    if (hasReported && vm->second.bootTime == run.vmBootTime)
         return;
+    const bool isGone = state.platformVms && !state.platformVms->contains(run.vm);
     task.isSuspect = true;
-    countCrash(state, id, task, run.vm, run.number,
-        run.isOnTrial ? RunEventKind::CrashedOnTrial : RunEventKind::Crashed);
+    countCrash(state, id, task, { run.vm, run.number, run.isOnTrial, hasReported || isGone });
+}
+
+/// Whether all the runs are of one step of an occurrence.
+bool areOfOneStep(const std::vector<TaskId>& runs)
+{
+    return std::all_of(runs.begin(), runs.end(), [&](const TaskId& id) {
+        const auto& first = runs.front();
+        return id.job == first.job && id.occurrence == first.occurrence && id.step == first.step;
+    });
 }
 
 } // namespace
@@ -80,15 +102,18 @@
     for (auto& [name, vm] : state.vms) {
         if (!vm.trialTask)
             continue;
-        auto* task = findTask(state, *vm.trialTask);
-        const bool hasRun = task && task->run && task->run->vm == name;
-        if (hasRun && isOnTrial(vm, *task->run))
-            continue;
-        if (hasRun) {
+        vm.trialTask.reset();
+        for (const auto& id : vm.runs) {
+            auto* task = findTask(state, id);
+            if (!task || !task->run || task->run->trial.count() == 0)
+                continue;
+            if (isOnTrial(vm, *task->run)) {
+                vm.trialTask = id;
+                continue;
+            }
             task->run->trial = milliseconds(0);
-            state.jobs.find(vm.trialTask->job)->second.dirty = true;
+            state.jobs.find(id.job)->second.dirty = true;
         }
-        vm.trialTask.reset();
     }
 }
 
@@ -103,6 +128,17 @@
     }
 }
 
+void clearRisk(PoolState& state, VmState& vm)
+{
+    for (const auto& id : vm.runs) {
+        auto* task = findTask(state, id);
+        if (!task || !task->run || !task->run->isAtRisk)
+            continue;
+        task->run->isAtRisk = false;
+        state.jobs.find(id.job)->second.dirty = true;
+    }
+}
+
 void attributeEarlierCrashes(PoolState& state)
 {
     for (auto& [name, job] : state.jobs) {
@@ -116,30 +152,29 @@
     }
 }
 
-void attributeCrash(PoolState& state, VmState& vm, const std::set<TaskId>& survivors)
+void attributeCrash(
+    PoolState& state, VmState& vm, const std::set<TaskId>& survivors, TimePoint before, bool isProven)
 {
-    if (vm.entry.draining || vm.isEvacuating)
-        return; // the VM has been taken away
     std::vector<TaskId> candidates;
     std::vector<TaskId> onTrial;
     for (const auto& id : vm.runs) {
         const auto* task = findTask(state, id);
-        if (!task || !task->run || survivors.contains(id) || !mayHaveCrashed(state, vm, id, *task->run))
+        if (!task || !task->run || survivors.contains(id) || task->run->sentAt >= before
+            || !mayHaveCrashed(state, vm, id, *task->run))
             continue;
         candidates.push_back(id);
         if (isOnTrial(vm, *task->run))
             onTrial.push_back(id);
     }
-    // After a takeover a VM may have several adopted runs on trial.
-    const bool isCertain = onTrial.size() == 1;
+    // A gang has one trial; after a takeover a VM may also have adopted runs of several tasks on trial.
+    const bool isCertain = !onTrial.empty() && areOfOneStep(onTrial);
     for (const auto& id : onTrial.empty() ? candidates : onTrial) {
         auto& task = *findTask(state, id);
         task.run->isCrashAttributed = true;
         // An older run has shown for a while that it doesn't crash a VM at its start.
         const bool isYoung = task.run->sentAt + state.limits.shortTrial >= vm.lastContactAt;
         task.isSuspect = task.isSuspect || isYoung || task.crashes + 1 >= state.limits.crashesBeforeLongTrial;
-        countCrash(state, id, task, vm.entry.id, task.run->number,
-            isCertain ? RunEventKind::CrashedOnTrial : RunEventKind::Crashed);
+        countCrash(state, id, task, { vm.entry.id, task.run->number, isCertain, isProven });
     }
 }
 
@@ -149,7 +184,7 @@
     if (!step.longRunning || task.crashes == 0 || !task.run || task.run->sentAt == TimePoint {}
         || now - task.run->sentAt < limits.longTrial)
         return;
-    task.crashes = task.trialCrashes = 0;
+    task.crashes = task.trialCrashes = task.provenTrialCrashes = 0;
     task.isSuspect = false;
     job.dirty = true;
 }
--- a/src/libscheduler/crash_attribution_pvt.h
+++ b/src/libscheduler/crash_attribution_pvt.h
@@ -20,9 +20,13 @@
 /// Counts the crashes that ended runs of earlier holders. Requires that all VMs have reported that are to.
 void attributeEarlierCrashes(PoolState& state);
 /// Attributes the crash of a VM to its runs: to the run on trial, if there is one, else to all that may have
-/// caused it. Fails jobs whose task has crashed VMs in PoolLimits::maxTrialCrashes trials. Runs that \p
-/// survivors contains were started after the crash.
-void attributeCrash(PoolState& state, VmState& vm, const std::set<TaskId>& survivors);
+/// caused it. Fails jobs whose task has crashed too many VMs in its trials, see PoolLimits. Runs in
+/// \p survivors, and those whose start was sent at \p before or later, may have been started after the crash.
+/// \p isProven: the VM is known to have crashed, and not only silent and unregistered.
+void attributeCrash(
+    PoolState& state, VmState& vm, const std::set<TaskId>& survivors, TimePoint before, bool isProven);
+/// Notes that a VM with runs at risk has responded in the same boot.
+void clearRisk(PoolState& state, VmState& vm);
 /// Clears the suspicion of a long-running task once its run has outlived the long trial.
 void clearSuspicion(
     JobEntry& job, const StepSpec& step, TaskState& task, const PoolLimits& limits, TimePoint now);
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -10,8 +10,10 @@
 
 bool isAvailable(const VmState& vm, TimePoint now)
 {
-    return vm.isRegistered && vm.hasReported && !vm.isUnresponsive && !vm.entry.draining && !vm.isEvacuating
-        && vm.orphanRuns.empty() && now >= vm.quarantinedUntil;
+    // A new boot may have another capacity and other labels than the one that is registered.
+    const bool isEntryCurrent = vm.entry.bootTime == 0 || vm.entry.bootTime >= vm.bootTime;
+    return isEntryCurrent && vm.isRegistered && vm.hasReported && !vm.isUnresponsive && !vm.entry.draining
+        && !vm.isEvacuating && vm.orphanRuns.empty() && now >= vm.quarantinedUntil;
 }
 
 bool acceptsWork(const VmState& vm, TimePoint now)
@@ -137,11 +139,18 @@
 
 namespace {
 
-/// Whether the VM has started nothing lately and is about to start nothing, so that a crash after the next
-/// start is due to that start.
+bool isOfOneStep(const TaskId& a, const TaskId& b)
+{
+    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+}
+
+/// Whether the VM responds, has started nothing lately and is about to start nothing, so that a crash after
+/// the next start is due to that start.
 bool isQuiet(PoolState& state, const VmState& vm, TimePoint now)
 {
-    if (now - vm.lastStartAt < state.limits.shortTrial)
+    const auto& limits = state.limits;
+    if (now - vm.lastStartAt < limits.shortTrial
+        || now - vm.lastContactAt > limits.maxHeartbeatWait + limits.shortTrial)
         return false;
     return std::none_of(vm.runs.begin(), vm.runs.end(), [&](const TaskId& id) {
         const auto* task = findTask(state, id);
@@ -165,9 +174,12 @@
         ++available;
         const bool isReserved = now < vm.reservedUntil;
         taken += vm.trialTask || isReserved;
-        if (vm.trialTask || !suits(vm, step, id, OwnRun::None)
+        const bool isOwnTrial = step.gang && vm.trialTask && isOfOneStep(*vm.trialTask, id);
+        if ((vm.trialTask && !isOwnTrial) || !suits(vm, step, id, OwnRun::None)
             || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
             continue;
+        if (isOwnTrial)
+            return &vm;
         if (isQuiet(state, vm, now)) {
             // A crash ends few other runs on a VM with few of them.
             if (!quiet || vm.runs.size() < quiet->runs.size())
@@ -176,7 +188,8 @@
             next = &vm;
         }
     }
-    const bool mayTakeAnother = taken < std::max(1, available / 2);
+    // A gang starts whole or not at all.
+    const bool mayTakeAnother = step.gang || taken < std::max(1, available / 2);
     if (quiet && (mayTakeAnother || now < quiet->reservedUntil))
         return quiet;
     if (next && mayTakeAnother)
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -100,15 +100,15 @@
 }
 
 StartAction startRun(PoolState& state, JobEntry& job, const TaskId& id, TaskState& task, VmState& vm,
-    std::uint32_t number, const std::string& checkpoint, TimePoint now)
+    std::uint32_t number, const std::string& checkpoint, milliseconds trial, TimePoint now)
 {
     RunState run { vm.entry.id, number };
     run.vmBootTime = vm.bootTime;
     run.createdAt = now;
-    run.trial = trialLength(task, state.limits);
+    run.trial = trial;
     if (run.trial.count() > 0) {
         run.recordedAfterBatch = job.lastBatch;
-        job.dirty = true;
+        job.dirty = job.hasUnrecordedTrial = true;
         vm.trialTask = id;
         vm.reservedUntil = TimePoint {};
     }
@@ -174,10 +174,28 @@
                 failed.needs.push_back(reservedBy(stepOf(job, waiting.step)));
             return recordMissingTicket(state, waiting);
         }
-        out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint, now));
+        out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint,
+            trialLength(task, state.limits), now));
     }
 }
 
+/// Length of the trial of a gang's members; zero if none is suspect. One that is makes all of them suspect.
+milliseconds gangTrialLength(const StepState& step, const PoolLimits& limits)
+{
+    milliseconds longest { 0 };
+    for (const auto& task : step.tasks)
+        longest = std::max(longest, trialLength(task, limits));
+    return longest;
+}
+
+/// What startRun() changes of a VM beside its runs.
+struct VmBeforeStart {
+    VmState* vm = nullptr;
+    TimePoint lastStartAt {};
+    std::optional<TaskId> trialTask;
+    TimePoint reservedUntil {};
+};
+
 /// Starts all members of a gang, or none if not all can be placed.
 void placeGang(PoolState& state, const WaitingStep& waiting, bool recoveryComplete, TimePoint now,
     WallTime wallNow, std::vector<StartAction>& out)
@@ -194,14 +212,19 @@
         if (!task.checkpoint.empty())
             checkpoint = task.checkpoint;
     }
+    const auto trial = gangTrialLength(step, state.limits);
+    const bool wasDirty = job.dirty;
+    const bool hadUnrecordedTrial = job.hasUnrecordedTrial;
     std::vector<StartAction> starts;
+    std::vector<VmBeforeStart> before;
     TaskId id { job.spec.id, waiting.occurrence, waiting.step, 0 };
     for (auto& task : step.tasks) {
         auto* vm
-            = task.isSuspect ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
+            = trial.count() > 0 ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
         if (!vm)
             break;
-        starts.push_back(startRun(state, job, id, task, *vm, number, checkpoint, now));
+        before.push_back({ vm, vm->lastStartAt, vm->trialTask, vm->reservedUntil });
+        starts.push_back(startRun(state, job, id, task, *vm, number, checkpoint, trial, now));
         ++id.index;
     }
     if (starts.size() == step.tasks.size()) {
@@ -211,6 +234,13 @@
     recordMissingTicket(state, waiting);
     for (const auto& start : starts)
         releaseRun(state, start.command.task, step.tasks[static_cast<std::size_t>(start.command.task.index)]);
+    for (auto it = before.rbegin(); it != before.rend(); ++it) {
+        it->vm->lastStartAt = it->lastStartAt;
+        it->vm->trialTask = it->trialTask;
+        it->vm->reservedUntil = it->reservedUntil;
+    }
+    job.dirty = wasDirty;
+    job.hasUnrecordedTrial = hadUnrecordedTrial;
 }
 
 /// Whether every run that an earlier holder started is known or has ended, so that the tasks of recovered
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -257,8 +257,10 @@
             survivors.insert(run.task);
         for (const auto& end : report.ended)
             survivors.insert(end.task);
-        attributeCrash(state, vm, survivors);
+        attributeCrash(state, vm, survivors, sentAt, true);
         resetForRestart(state, vm, now);
+    } else if (vm.isUnresponsive) {
+        clearRisk(state, vm);
     }
     recordUnknownLease(vm, report, state.limits, sentAt, now);
     vm.bootTime = report.bootTime;
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -173,8 +173,10 @@
     auto [it, added] = state.vms.try_emplace(entry.id);
     auto& vm = it->second;
     vm.isRegistered = true;
-    vm.entry = entry;
     // A registration of an earlier boot may arrive late.
+    if (vm.hasReported && entry.bootTime != 0 && entry.bootTime < vm.bootTime)
+        return;
+    vm.entry = entry;
     if (vm.hasReported && vm.bootTime != 0 && entry.bootTime > vm.bootTime)
         vm.isUnresponsive = true;
 }
@@ -209,6 +211,7 @@
     if (found == state.vms.end() || found->second.entry.address != address)
         return;
     auto& vm = found->second;
+    vm.hasEnded = true;
     vm.isRegistered = false;
     vm.isUnresponsive = true;
     vm.leaseUntil = vm.unconfirmedLeaseUntil = milliseconds(0);
@@ -248,21 +251,21 @@
 bool isReportDue(const VmState& vm, const PoolLimits& limits, TimePoint now)
 {
     return !vm.hasReported || vm.isUnresponsive || !vm.runs.empty() || !vm.orphanRuns.empty()
-        || now - vm.clockReportedAt >= limits.idleReportInterval;
+        || now < vm.reservedUntil || now - vm.clockReportedAt >= limits.idleReportInterval;
 }
 
 HeartbeatCommand planHeartbeat(VmState& vm, const PoolLimits& limits, TimePoint now)
 {
     HeartbeatCommand command;
     // The ends of a new boot have the same numbers.
-    if (!mayHaveRestarted(vm, limits, now))
+    if (!vm.isUnresponsive && now - vm.clockReportedAt <= limits.maxAcknowledgementAge)
         command.acknowledged = vm.acknowledged;
     // The lease of an unresponsive VM is not renewed, so that its tasks can be released once it expires.
     if (!vm.hasReported || vm.isUnresponsive || vm.runs.empty())
         return command;
     command.leaseUntil = extendLease(vm, limits, now);
     if (vm.orphanRuns.empty())
-        command.wait = vm.trialTask ? limits.shortTrial : limits.maxHeartbeatWait;
+        command.wait = vm.trialTask || now < vm.reservedUntil ? limits.shortTrial : limits.maxHeartbeatWait;
     return command;
 }
 
@@ -282,8 +285,9 @@
         const bool mayHaveUnreportedEnds
             = vm.isRegistered && !isLeaseExpired(vm, state.limits, now - state.limits.silentVmGrace);
         if (vm.isUnresponsive && vm.hasReported && over && !mayHaveUnreportedEnds) {
-            if (!vm.isRegistered)
-                attributeCrash(state, vm, {});
+            // A draining or evacuating VM has been taken away.
+            if (!vm.isRegistered && !vm.entry.draining && !vm.isEvacuating)
+                attributeCrash(state, vm, {}, TimePoint::max(), vm.hasEnded);
             releaseAllRuns(state, vm, RunEventKind::LeaseExpired);
         }
         if (!vm.isRegistered && over && vm.runs.empty()) {
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -177,6 +177,7 @@
     BOOST_TEST(starts().empty());
     advance(state.limits.vmLease / 20);
     expireLeases(state, clock.now());
+    report(vm == "v1" ? "v2" : "v1"); // a suspect task starts only on a VM that has just responded
     const auto next = starts();
     BOOST_REQUIRE(next.size() == 1u);
     BOOST_TEST(next[0].vm != vm);
--- a/src/libscheduler/progress.cpp
+++ b/src/libscheduler/progress.cpp
@@ -66,7 +66,8 @@
             if (!task.done && !task.checkpoint.empty())
                 saved.push_back({ s, i, task.checkpoint });
             if (!task.done && task.crashes > 0)
-                crashes.push_back({ s, i, task.crashes, task.trialCrashes, task.isSuspect });
+                crashes.push_back(
+                    { s, i, task.crashes, task.trialCrashes, task.isSuspect, task.provenTrialCrashes });
             if (const auto run = runAtRisk(task))
                 atRisk.push_back({ s, i, run->number, run->vm, run->vmBootTime, run->isOnTrial });
         }
@@ -121,6 +122,7 @@
         task->crashes = entry.at(2).get<int>();
         task->trialCrashes = entry.at(3).get<int>();
         task->isSuspect = entry.at(4).get<bool>();
+        task->provenTrialCrashes = entry.at(5).get<int>();
     }
     for (const auto& entry : value.value("atRisk", json::array())) {
         if (auto* task = taskAt(occurrence, entry))
