--- a/src/libscheduler/crash_attribution_test.cpp
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -380,7 +380,8 @@
     BOOST_REQUIRE(trial.size() == 1u);
     BOOST_TEST(trial[0].command.task.job == "b");
     state.jobs.at("b").committedBatch = 1;
-    BOOST_TEST(takeReadyStarts(state, waiting, std::move(trial), clock.now()).size() == 1u);
+    const auto sent = takeReadyStarts(state, waiting, std::move(trial), clock.now());
+    BOOST_TEST(sent.size() == 1u);
     applyStartOutcome(state, "v1", { "b", 0, 0, 0 }, 1, CommandOutcome::Accepted, clock.now());
     advance(state.limits.shortTrial);
     BOOST_TEST(starts().empty()); // the VM has not responded since the trial's end
