Log why long-running tasks wait, and what machines pools need

The record shows a lasting task stopped at 4.4 s and started again at 20.5 s by the same holder. The log couldn't tell whether it waited for a VM and why, was planned and held back, or was not released by its old VM.

Ruled out by adding nothing: pool_load has neither memory nor waiting long-running tasks; task_start is written at the response only.

Change: serving_tasks_wait, at most four steps a pool and second, counts the pool's VMs by what keeps the first waiting task from them; held_back_ms in task_start is the time between plan and command; waiting_serving in pool_load; pool_demand, once a second a pool, shows the coordinator's count of machines, those that must stay, those required and under maintenance. No decision changes.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -119,6 +119,18 @@
     milliseconds minStayTime { 3000 };
 };
 
+/// Machines that a pool has and needs.
+struct PoolDemand {
+    std::string name;
+    int machineCount = 0; ///< machines in the pool or moving to it
+    int mustStayCount = 0; ///< of these, those with long-running tasks or without a report
+    int requiredMachines = 0; ///< without overdue work
+    int machinesForOverdueWork = 0; ///< further machines
+    std::vector<const Machine*> removable; ///< machines that may be moved away, least loaded first
+};
+
+/// Demand of each pool with a known load, without standby pools.
+std::vector<PoolDemand> computeDemands(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// New tasks for machines whose maintenance begins now.
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// New moves of machines to pools that need them: standby machines first, then the least loaded machines of
--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -88,6 +88,8 @@
     /// had already had the command carried out.
     void detectRepeatedCommands();
     void beginTasks(TimePoint now);
+    /// Logs now and then how many machines each pool has and needs.
+    void logDemands(TimePoint now);
     void beginTask(MachineTask task);
     void sendCommands(TimePoint now);
     void sendCommand(const MachineTask& task);
@@ -120,6 +122,7 @@
     std::set<std::int64_t> m_statusWritesInFlight; ///< waves with a status write in flight
     std::map<std::string, TimePoint> m_commandAcceptedAt; ///< by machine, when its command was accepted
     TimePoint m_nextListAt {};
+    TimePoint m_demandsLoggedAt {};
     TimePoint m_listRequestedAt {}; ///< time of the last request for the machine list
     bool m_isListing = false;
     bool m_hasMachineList = false;
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -113,6 +113,8 @@
     void markDirtyIfNeeded();
     void publishLoad(TimePoint now);
     void logLoad(TimePoint now);
+    /// Logs now and then why long-running tasks wait.
+    void logWaitingServingTasks(TimePoint now);
     void logRunEvents();
 
     HolderContext m_context;
@@ -143,6 +145,7 @@
     TimePoint m_loadPublishedAt {};
     TimePoint m_loadComputedAt {};
     TimePoint m_loadLoggedAt {};
+    TimePoint m_waitingLoggedAt {};
     TimePoint m_nextListAt {}; ///< earliest time of the next list of machines
     bool m_isListing = false; ///< a list of machines is requested
     bool m_begun = false;
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -30,6 +30,60 @@
 /// overdue.
 PoolLoad computeLoad(const PoolState& state, TimePoint now, WallTime wallNow);
 
+/// Why a VM can't take a task.
+enum class PlacementObstacle {
+    None,
+    Unregistered,
+    NotReported, ///< to this holder yet
+    OtherBootRegistered, ///< its registration and its last report are of different boots
+    Unresponsive,
+    Draining,
+    Evacuating,
+    OrphanRuns,
+    Quarantined,
+    Trial, ///< it runs or awaits the trial of a suspect task
+    Label,
+    MaxPerVm, ///< it runs as many tasks of the step as may share a VM
+    TooSmall, ///< for the task even without other runs
+    Memory,
+    Cpu,
+    Gpu,
+    Ticket,
+};
+
+inline constexpr NameTable<PlacementObstacle, 17> placementObstacleNames { {
+    { PlacementObstacle::None, "none" },
+    { PlacementObstacle::Unregistered, "unregistered" },
+    { PlacementObstacle::NotReported, "not_reported" },
+    { PlacementObstacle::OtherBootRegistered, "other_boot_registered" },
+    { PlacementObstacle::Unresponsive, "unresponsive" },
+    { PlacementObstacle::Draining, "draining" },
+    { PlacementObstacle::Evacuating, "evacuating" },
+    { PlacementObstacle::OrphanRuns, "orphan_runs" },
+    { PlacementObstacle::Quarantined, "quarantined" },
+    { PlacementObstacle::Trial, "trial" },
+    { PlacementObstacle::Label, "label" },
+    { PlacementObstacle::MaxPerVm, "max_per_vm" },
+    { PlacementObstacle::TooSmall, "too_small" },
+    { PlacementObstacle::Memory, "memory" },
+    { PlacementObstacle::Cpu, "cpu" },
+    { PlacementObstacle::Gpu, "gpu" },
+    { PlacementObstacle::Ticket, "ticket" },
+} };
+
+/// A long-running step with tasks that wait for a VM.
+struct WaitingServingStep {
+    StepId step;
+    int tasks = 0; ///< that wait
+    int suspectTasks = 0; ///< of these, those that start with a trial
+    Resources need; ///< of each task
+    std::map<PlacementObstacle, int> vms; ///< number of the pool's VMs by what keeps the first task from them
+};
+
+/// At most \p limit of the pool's long-running steps with waiting tasks, for the log.
+std::vector<WaitingServingStep> findWaitingServingSteps(
+    const PoolState& state, TimePoint now, std::size_t limit);
+
 /// A command that sets the share of its CPU that a task may use.
 struct ThrottleAction {
     std::string vm;
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds busyListInterval { 700 };
 constexpr milliseconds idleListInterval { 5000 };
 constexpr milliseconds commandRetryInterval { 400 };
+constexpr milliseconds demandLogInterval { 1000 };
 constexpr milliseconds statusTimeout { 1000 };
 /// Transaction entries besides the coordinator's rows: the expectation on the lease row.
 constexpr std::size_t reservedEntries = 1;
@@ -198,8 +199,34 @@
     }
 }
 
+void MachineCoordinator::logDemands(TimePoint now)
+{
+    if (now - m_demandsLoggedAt < demandLogInterval)
+        return;
+    m_demandsLoggedAt = now;
+    for (const auto& demand : computeDemands(m_state, m_limits, now)) {
+        const auto tasks = [&](MachineAction action) {
+            return std::to_string(
+                std::count_if(m_state.tasks.begin(), m_state.tasks.end(), [&](const auto& entry) {
+                    const auto machine = m_state.machines.find(entry.first);
+                    return entry.second.action == action && machine != m_state.machines.end()
+                        && machine->second.pool == demand.name;
+                }));
+        };
+        logEvent(LogLevel::Info, "pool_demand",
+            { { "pool", demand.name }, { "machines", std::to_string(demand.machineCount) },
+                { "must_stay", std::to_string(demand.mustStayCount) },
+                { "required", std::to_string(demand.requiredMachines) },
+                { "for_overdue", std::to_string(demand.machinesForOverdueWork) },
+                { "removable", std::to_string(demand.removable.size()) },
+                { "in_maintenance", tasks(MachineAction::Maintain) },
+                { "moving_away", tasks(MachineAction::Move) } });
+    }
+}
+
 void MachineCoordinator::beginTasks(TimePoint now)
 {
+    logDemands(now);
     for (auto& task : planMaintenance(m_state, m_limits, now))
         beginTask(std::move(task));
     for (auto& task : planMoves(m_state, m_limits, now))
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -19,6 +19,8 @@
 /// Shortest time between two writes of the pool's load.
 constexpr milliseconds loadInterval { 150 };
 constexpr milliseconds loadLogInterval { 1000 };
+/// Most steps with waiting long-running tasks that are logged at a time.
+constexpr std::size_t maxLoggedWaitingSteps = 4;
 /// Transaction entries besides the writes: the expectation on the lease row.
 constexpr std::size_t reservedEntries = 1;
 /// Interval of the machine lists that show which VMs a new holder has to hear from.
@@ -259,6 +261,7 @@
     removeEndedJobs();
     markDirtyIfNeeded();
     publishLoad(now);
+    logWaitingServingTasks(now);
     const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
     scheduleReconcile(isIdle ? idleReconcileInterval : reconcileInterval);
 }
@@ -311,6 +314,7 @@
             { "capacity", std::to_string(m_pendingLoad->capacityCpu) },
             { "used", std::to_string(m_pendingLoad->usedCpu) },
             { "serving", std::to_string(m_pendingLoad->servingCpu) },
+            { "waiting_serving", std::to_string(m_pendingLoad->waitingServingCpu) },
             { "waiting", std::to_string(m_pendingLoad->waitingCpu) },
             { "waiting_work", std::to_string(m_pendingLoad->waitingWork) },
             { "overdue", std::to_string(m_pendingLoad->overdueCpu) },
@@ -320,6 +324,25 @@
             { "starts_limited", m_state.areStartsLimited ? "yes" : "no" } });
 }
 
+void PoolHolder::logWaitingServingTasks(TimePoint now)
+{
+    if (now - m_waitingLoggedAt < loadLogInterval)
+        return;
+    m_waitingLoggedAt = now;
+    for (const auto& waiting : findWaitingServingSteps(m_state, now, maxLoggedWaitingSteps)) {
+        std::string vms;
+        for (const auto& [obstacle, count] : waiting.vms)
+            vms += (vms.empty() ? "" : ",") + std::string(nameOf(placementObstacleNames, obstacle)) + ":"
+                + std::to_string(count);
+        logEvent(LogLevel::Info, "serving_tasks_wait",
+            { { "step", toString(waiting.step) }, { "pool", m_state.pool },
+                { "tasks", std::to_string(waiting.tasks) },
+                { "suspect", std::to_string(waiting.suspectTasks) },
+                { "cpu", std::to_string(waiting.need.cpu) },
+                { "memory_mb", std::to_string(waiting.need.memoryMb) }, { "vms", vms } });
+    }
+}
+
 LedgerBatch PoolHolder::collectBatch()
 {
     LedgerBatch batch;
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -102,10 +102,16 @@
     m_context.metrics.count(
         "task_start_outcomes_total{outcome=\"" + std::string(nameOf(commandOutcomeNames, outcome)) + "\"}");
     m_context.metrics.observe("task_start_seconds", now - sentAt);
+    const auto* task = findTask(m_state, start.command.task);
+    const bool isCurrentRun = task && task->run && task->run->number == start.command.run;
+    const auto heldBack = isCurrentRun
+        ? std::chrono::duration_cast<milliseconds>(sentAt - task->run->createdAt)
+        : milliseconds(0);
     logEvent(LogLevel::Info, "task_start",
         { { "task", toString(start.command.task) }, { "run", std::to_string(start.command.run) },
             { "vm", start.vm }, { "fence", std::to_string(m_ledger.fencingToken()) },
             { "outcome", std::string(nameOf(commandOutcomeNames, outcome)) },
+            { "held_back_ms", std::to_string(heldBack.count()) },
             { "vm_clock_ms", std::to_string(response.vmClock.count()) } });
     handleCommandOutcome(target, outcome, sentAt);
     checkVmClock(m_state, start.vm, response.vmClock, sentAt, now);
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -6,15 +6,6 @@
 namespace damask::fleet {
 namespace {
 
-/// Machines that a pool has and needs.
-struct PoolDemand {
-    std::string name;
-    int machineCount = 0; ///< machines in the pool or moving to it
-    int requiredMachines = 0; ///< without overdue work
-    int machinesForOverdueWork = 0; ///< further machines
-    std::vector<const Machine*> removable; ///< machines that may be moved away, least loaded first
-};
-
 bool isStandby(const FleetState& state, const std::string& pool)
 {
     const auto found = state.config.pools.find(pool);
@@ -73,7 +64,6 @@
     PoolDemand demand { .name = pool };
     const auto load = state.loads.find(pool);
     int upMachines = 0;
-    int mustStayCount = 0;
     for (const auto& [id, machine] : state.machines) {
         const auto task = state.tasks.find(id);
         const bool isMoving = task != state.tasks.end() && task->second.action == MachineAction::Move;
@@ -84,7 +74,7 @@
             continue;
         ++upMachines;
         const bool mustStay = load == state.loads.end() || load->second.serving.contains(id);
-        mustStayCount += mustStay;
+        demand.mustStayCount += mustStay;
         if (!mustStay && isMovable(state, machine, limits, now))
             demand.removable.push_back(&machine);
     }
@@ -112,7 +102,7 @@
     const int emptyMachines
         = static_cast<int>(std::ceil(static_cast<double>(load->second.unfitCpu) / cpuPerMachine));
     demand.requiredMachines
-        = std::max({ machinesForCpu, mustStayCount + emptyMachines, load->second.minMachines })
+        = std::max({ machinesForCpu, demand.mustStayCount + emptyMachines, load->second.minMachines })
         + limits.minIdleMachines;
     const double overdueCpu = static_cast<double>(load->second.overdueUsedCpu)
         + backlogCpu(load->second.overdueCpu, load->second.overdueWork, limits);
@@ -131,16 +121,6 @@
     return out;
 }
 
-std::vector<PoolDemand> computeDemands(const FleetState& state, const FleetLimits& limits, TimePoint now)
-{
-    std::vector<PoolDemand> pools;
-    for (const auto& [name, load] : state.loads) {
-        if (state.config.pools.contains(name) && !isStandby(state, name))
-            pools.push_back(computeDemand(state, name, limits, now));
-    }
-    return pools;
-}
-
 /// Moves \p standby machines first, then surplus ones, to the pools that lack machines. Applies the moves to
 /// \p pools, and removes the machines that it moves from both lists.
 void fillPools(const FleetState& state, std::vector<PoolDemand>& pools, std::vector<const Machine*>& standby,
@@ -182,6 +162,16 @@
 
 } // namespace
 
+std::vector<PoolDemand> computeDemands(const FleetState& state, const FleetLimits& limits, TimePoint now)
+{
+    std::vector<PoolDemand> pools;
+    for (const auto& [name, load] : state.loads) {
+        if (state.config.pools.contains(name) && !isStandby(state, name))
+            pools.push_back(computeDemand(state, name, limits, now));
+    }
+    return pools;
+}
+
 std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now)
 {
     auto pools = computeDemands(state, limits, now);
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -8,10 +8,30 @@
 namespace damask::fleet {
 namespace {
 
+/// First reason for which the VM accepts no starts at all; None if it does, but perhaps only those of trials.
+PlacementObstacle findVmObstacle(const VmState& vm, TimePoint now)
+{
+    using enum PlacementObstacle;
+    if (!vm.isRegistered)
+        return Unregistered;
+    if (!vm.hasReported)
+        return NotReported;
+    if (!isEntryCurrent(vm))
+        return OtherBootRegistered;
+    if (vm.isUnresponsive)
+        return Unresponsive;
+    if (vm.entry.draining)
+        return Draining;
+    if (vm.isEvacuating)
+        return Evacuating;
+    if (!vm.orphanRuns.empty())
+        return OrphanRuns;
+    return now < vm.quarantinedUntil ? Quarantined : None;
+}
+
 bool isAvailable(const VmState& vm, TimePoint now)
 {
-    return isEntryCurrent(vm) && vm.isRegistered && vm.hasReported && !vm.isUnresponsive && !vm.entry.draining
-        && !vm.isEvacuating && vm.orphanRuns.empty() && now >= vm.quarantinedUntil;
+    return findVmObstacle(vm, now) == PlacementObstacle::None;
 }
 
 bool acceptsWork(const VmState& vm, TimePoint now)
@@ -158,6 +178,32 @@
 
 } // namespace
 
+PlacementObstacle findObstacle(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    using enum PlacementObstacle;
+    const auto& step = stepOf(job, id.step);
+    if (const auto obstacle = findVmObstacle(vm, now); obstacle != None)
+        return obstacle;
+    if (vm.trialTask || now < vm.reservedUntil)
+        return Trial;
+    if (!hasLabel(vm, step.requiredLabel))
+        return Label;
+    if (step.maxPerVm > 0 && countSiblings(vm, id) >= step.maxPerVm)
+        return MaxPerVm;
+    const auto need = reservedBy(step);
+    const auto free = freeResources(vm);
+    if (!fits(need, vm.entry.capacity))
+        return TooSmall;
+    if (need.memoryMb > free.memoryMb)
+        return Memory;
+    if (need.cpu > free.cpu)
+        return Cpu;
+    if (need.gpu > free.gpu)
+        return Gpu;
+    return needsTicket(state, job) && !hasTicket(stepAdvice(job, id), vm, now) ? Ticket : None;
+}
+
 VmState* chooseTrialVm(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now)
 {
     const auto& step = stepOf(job, id.step);
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -2,6 +2,7 @@
 /// Choice of a VM for one task.
 #pragma once
 
+#include <damaskworks/pool_plan.h>
 #include <damaskworks/pool_state.h>
 
 namespace damask::fleet {
@@ -14,6 +15,10 @@
 bool canStillHost(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
 
+/// First reason for which the VM can't take the task now; None if it can.
+PlacementObstacle findObstacle(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
+
 /// Ticket of the advice service for the task on the VM; empty if there is none.
 std::string ticketFor(const JobEntry& job, const TaskId& id, std::string_view vm);
 
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -253,6 +253,24 @@
     job.hasUnrecordedTrial = hadUnrecordedTrial;
 }
 
+WaitingServingStep describeWaiting(
+    const PoolState& state, const JobEntry& job, const StepId& id, TimePoint now)
+{
+    WaitingServingStep out { .step = id, .need = reservedBy(stepOf(job, id.step)) };
+    const auto& tasks = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].done || tasks[i].run)
+            continue;
+        out.suspectTasks += tasks[i].isSuspect;
+        if (++out.tasks > 1)
+            continue;
+        const TaskId task { id.job, id.occurrence, id.step, static_cast<int>(i) };
+        for (const auto& [name, vm] : state.vms)
+            ++out.vms[findObstacle(state, vm, job, task, now)];
+    }
+    return out;
+}
+
 std::set<TaskId> findOrphanTasks(const PoolState& state)
 {
     std::set<TaskId> out;
@@ -310,6 +328,28 @@
     return out;
 }
 
+std::vector<WaitingServingStep> findWaitingServingSteps(
+    const PoolState& state, TimePoint now, std::size_t limit)
+{
+    std::vector<WaitingServingStep> out;
+    for (const auto& [id, job] : state.jobs) {
+        if (isFinal(job.state))
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+                if (!stepOf(job, s).longRunning || !isStepReady(job, occurrence, s))
+                    continue;
+                auto waiting = describeWaiting(state, job, { id, number, s }, now);
+                if (waiting.tasks > 0)
+                    out.push_back(std::move(waiting));
+                if (out.size() >= limit)
+                    return out;
+            }
+        }
+    }
+    return out;
+}
+
 std::optional<WallTime> nextDue(const PoolState& state)
 {
     std::optional<WallTime> next;
