Reserve room for long-running tasks before they are stopped or while they wait

Cause: an evacuation stopped a long-running task within its step's budget without looking whether another VM had room. A long-running task that no VM could take reserved nothing, so shorter and smaller tasks took each bit of room that became free on the full VMs.

Ruled out: the task was not held back behind a record or a trial, nor kept by its old VM: in the trace its step is listed in serving_tasks_wait, and waiting_serving in pool_load is its CPU.

Change: such a task gets a reservation on the VM whose short tasks leave enough room the soonest by their estimates; other tasks are planned beside it. An evacuation stops a long-running task once its place is free, or when its VM has to go, or if no VM accepts work at all.

Evidence: serving_placement_test fails without the change: the task waits for the whole 3 s that the test looks at, and the evacuated one is away for all of 4 s; with it, 1.2 s at most (the longest short task) and 200 ms. The other tests of the scheduler pass as before.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -160,6 +160,13 @@
     TimePoint lastStartAt {}; ///< when the last start was planned or sent
     std::optional<TaskId> trialTask; ///< task whose run is on trial; the VM gets no other starts
     TimePoint reservedUntil {}; ///< the VM gets no starts before this time but those of suspect tasks
+    Resources reserved; ///< kept free for long-running tasks, see PoolState::servingReservations
+};
+
+/// Room on a VM that other tasks leave to a long-running task.
+struct ServingReservation {
+    std::string vm;
+    Resources need;
 };
 
 /// Limits of a pool's holder.
@@ -207,6 +214,11 @@
     int maxProvenTrialCrashes = 2; ///< a task with as many is given up
     /// The same for all crashes during trials. A VM that is only cut off can't be told from one that is gone.
     int maxTrialCrashes = 4;
+    /// How long a long-running task on a draining VM waits for room on another one before it is stopped. The
+    /// VM may exit a few seconds after it began to drain.
+    milliseconds drainingPlacementWait { 1500 };
+    /// Most reservations that one planning pass tries to make; each looks at all runs of the pool.
+    int maxReservationAttempts = 8;
 };
 
 /// A recently accepted job, for the arrival rate.
@@ -271,6 +283,9 @@
     /// outage. Empty optional: the platform has not responded yet.
     std::optional<std::set<std::string>> platformVms;
     std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
+    /// Room for long-running tasks that wait or have to leave their VM. Without it, shorter and smaller tasks
+    /// take each bit of room that becomes free on a full VM.
+    std::map<TaskId, ServingReservation> servingReservations;
 };
 
 /// A command to stop a run.
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -1,6 +1,7 @@
 #include "placement_choice_pvt.h"
 
 #include "pool_state_pvt.h"
+#include "serving_reservations_pvt.h"
 
 #include <algorithm>
 #include <tuple>
@@ -29,11 +30,15 @@
     return now < vm.quarantinedUntil ? Quarantined : None;
 }
 
+} // namespace
+
 bool isAvailable(const VmState& vm, TimePoint now)
 {
     return findVmObstacle(vm, now) == PlacementObstacle::None;
 }
 
+namespace {
+
 bool acceptsWork(const VmState& vm, TimePoint now)
 {
     return isAvailable(vm, now) && !vm.trialTask && now >= vm.reservedUntil;
@@ -45,13 +50,6 @@
         || std::find(vm.entry.labels.begin(), vm.entry.labels.end(), label) != vm.entry.labels.end();
 }
 
-Resources freeResources(const VmState& vm)
-{
-    auto free = vm.entry.capacity;
-    free -= vm.used;
-    return free;
-}
-
 /// Number of runs of the task's step and occurrence on the VM.
 int countSiblings(const VmState& vm, const TaskId& id)
 {
@@ -83,10 +81,10 @@
 enum class OwnRun { None, Counted };
 
 /// Whether the VM has room for the task of the step beside the other runs, and may run it.
-bool suits(const VmState& vm, const StepSpec& step, const TaskId& id, OwnRun ownRun)
+bool suits(const PoolState& state, const VmState& vm, const StepSpec& step, const TaskId& id, OwnRun ownRun)
 {
     const bool isCounted = ownRun == OwnRun::Counted;
-    auto free = freeResources(vm);
+    auto free = freeBesideReservations(state, vm, id);
     if (isCounted)
         free += reservedBy(step);
     return hasLabel(vm, step.requiredLabel) && fits(reservedBy(step), free)
@@ -94,9 +92,9 @@
 }
 
 /// Whether the VM accepts work and suits a task that has no run on it.
-bool canHost(const VmState& vm, const StepSpec& step, const TaskId& id, TimePoint now)
+bool canHost(const PoolState& state, const VmState& vm, const StepSpec& step, const TaskId& id, TimePoint now)
 {
-    return acceptsWork(vm, now) && suits(vm, step, id, OwnRun::None);
+    return acceptsWork(vm, now) && suits(state, vm, step, id, OwnRun::None);
 }
 
 /// Number of runs on the VM that should not share it with a task of the step: fillers and tasks with a
@@ -178,6 +176,15 @@
 
 } // namespace
 
+bool mayHostBesideOthers(const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id,
+    int reservedSiblings, TimePoint now)
+{
+    const auto& step = stepOf(job, id.step);
+    return isAvailable(vm, now) && hasLabel(vm, step.requiredLabel)
+        && (step.maxPerVm == 0 || countSiblings(vm, id) + reservedSiblings < step.maxPerVm)
+        && (!needsTicket(state, job) || hasTicket(stepAdvice(job, id), vm, now));
+}
+
 PlacementObstacle findObstacle(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
 {
@@ -192,7 +199,7 @@
     if (step.maxPerVm > 0 && countSiblings(vm, id) >= step.maxPerVm)
         return MaxPerVm;
     const auto need = reservedBy(step);
-    const auto free = freeResources(vm);
+    const auto free = freeBesideReservations(state, vm, id);
     if (!fits(need, vm.entry.capacity))
         return TooSmall;
     if (need.memoryMb > free.memoryMb)
@@ -219,7 +226,7 @@
         const bool isReserved = now < vm.reservedUntil;
         taken += vm.trialTask || isReserved;
         const bool isOwnTrial = step.gang && vm.trialTask && isOfOneStep(*vm.trialTask, id);
-        if ((vm.trialTask && !isOwnTrial) || !suits(vm, step, id, OwnRun::None)
+        if ((vm.trialTask && !isOwnTrial) || !suits(state, vm, step, id, OwnRun::None)
             || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
             continue;
         if (isOwnTrial)
@@ -249,7 +256,8 @@
     VmState* best = nullptr;
     Score bestScore;
     for (auto& [name, vm] : state.vms) {
-        if (!canHost(vm, step, id, now) || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
+        if (!canHost(state, vm, step, id, now)
+            || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
             continue;
         const auto score = computeScore(state, vm, step, rack);
         if (best && !(score < bestScore))
@@ -266,7 +274,7 @@
 bool canStillHost(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
 {
-    return isAvailable(vm, now) && suits(vm, stepOf(job, id.step), id, OwnRun::Counted)
+    return isAvailable(vm, now) && suits(state, vm, stepOf(job, id.step), id, OwnRun::Counted)
         && (!needsTicket(state, job) || hasTicket(stepAdvice(job, id), vm, now));
 }
 
@@ -291,7 +299,8 @@
     const auto rack = step.sameRack ? siblingRack(state, job, id) : step.preferredRack;
     std::vector<std::pair<Score, std::string>> candidates;
     for (const auto& [name, vm] : state.vms) {
-        if (!canHost(vm, step, id, now) || advice.deniedVms.contains(name) || hasTicket(advice, vm, now))
+        if (!canHost(state, vm, step, id, now) || advice.deniedVms.contains(name)
+            || hasTicket(advice, vm, now))
             continue;
         candidates.emplace_back(computeScore(state, vm, step, rack), name);
     }
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -15,6 +15,12 @@
 bool canStillHost(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
 
+/// Whether the VM accepts starts, perhaps only those of trials.
+bool isAvailable(const VmState& vm, TimePoint now);
+/// Whether the VM may run the task, whatever room it has. \p reservedSiblings: tasks of the step that have a
+/// reservation on it, beside those that it runs.
+bool mayHostBesideOthers(const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id,
+    int reservedSiblings, TimePoint now);
 /// First reason for which the VM can't take the task now; None if it can.
 PlacementObstacle findObstacle(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -1,7 +1,9 @@
 #include <damaskworks/job_timing.h>
 #include <damaskworks/pool_plan.h>
 
+#include "placement_choice_pvt.h"
 #include "pool_state_pvt.h"
+#include "serving_reservations_pvt.h"
 
 #include <algorithm>
 #include <cmath>
@@ -24,6 +26,25 @@
         [&](const TaskState& task) { return !isServing(state, task); }));
 }
 
+/// One pass of planEvacuations().
+struct EvacuationPass {
+    bool canVmsTakeTasks = false; ///< some VM accepts starts
+    int reservationAttempts = 0; ///< that are left
+};
+
+/// Whether the long-running task should go on until another VM has room for it. Reserves that room. The task
+/// doesn't wait if no VM accepts starts, or once its own VM has to go.
+bool shouldWaitForRoom(PoolState& state, EvacuationPass& pass, const VmState& vm, const JobEntry& job,
+    const TaskId& id, TimePoint now)
+{
+    const auto* target = reserveForServing(state, job, id, pass.reservationAttempts, now);
+    if (target && fits(reservedBy(stepOf(job, id.step)), freeBesideReservations(state, *target, id)))
+        return false;
+    const auto longestWait
+        = vm.entry.draining ? state.limits.drainingPlacementWait : state.limits.evacuationTimeout;
+    return pass.canVmsTakeTasks && now - vm.evacuatingSince <= longestWait;
+}
+
 /// Marks a long-running task to be stopped if the disruption budget of its step allows one more.
 void stopWithinBudget(PoolState& state, JobEntry& job, const TaskId& id, TaskState& task, TimePoint now)
 {
@@ -158,9 +179,12 @@
 
 void planEvacuations(PoolState& state, TimePoint now)
 {
+    dropStaleReservations(state, now);
+    EvacuationPass pass { false, state.limits.maxReservationAttempts };
+    pass.canVmsTakeTasks = std::any_of(state.vms.begin(), state.vms.end(),
+        [&](const auto& entry) { return isAvailable(entry.second, now); });
     for (auto& [name, vm] : state.vms) {
-        const bool isLeaving = vm.isEvacuating || vm.entry.draining;
-        if (!isLeaving) {
+        if (!isLeaving(vm)) {
             vm.evacuatingSince = TimePoint {};
             continue;
         }
@@ -171,10 +195,16 @@
             auto& job = state.jobs.find(id.job)->second;
             if (!task || !task->run || task->run->phase != RunPhase::Running || isFinal(job.state))
                 continue;
-            if (stepOf(job, id.step).longRunning)
+            const bool isTimeOver
+                = vm.isEvacuating && now - vm.evacuatingSince > state.limits.evacuationTimeout;
+            if (!stepOf(job, id.step).longRunning) {
+                if (isTimeOver)
+                    markStopping(*task->run, now);
+                continue;
+            }
+            // A suspect task needs a VM for its trial, which isn't reserved ahead.
+            if (task->isSuspect || !shouldWaitForRoom(state, pass, vm, job, id, now))
                 stopWithinBudget(state, job, id, *task, now);
-            else if (vm.isEvacuating && now - vm.evacuatingSince > state.limits.evacuationTimeout)
-                markStopping(*task->run, now);
         }
     }
 }
@@ -202,7 +232,8 @@
         // The runs of a VM that has not reported are unknown, so its machine does not count as idle.
         if (!vm.runs.empty() || !vm.hasReported)
             load.runs[vm.entry.machine] = std::max(1, static_cast<int>(vm.runs.size()));
-        if (!vm.hasReported)
+        // A machine that a long-running task is about to start on must not be moved away.
+        if (!vm.hasReported || vm.reserved != Resources {})
             load.serving.insert(vm.entry.machine);
         if (vm.isEvacuating && vm.hasReported && !withRuns.contains(vm.entry.machine))
             load.empty.emplace(vm.entry.machine, vm.evacuationTask);
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -5,6 +5,7 @@
 #include "placement_choice_pvt.h"
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
+#include "serving_reservations_pvt.h"
 
 #include <algorithm>
 #include <tuple>
@@ -119,6 +120,7 @@
         vm.reservedUntil = TimePoint {};
     }
     vm.lastStartAt = now;
+    dropReservation(state, id);
     placeRun(state, vm, id, task, run);
     if (job.firstStartAt == TimePoint {})
         job.firstStartAt = now;
@@ -157,7 +159,8 @@
 
 /// Starts the waiting tasks of a step one by one, until no VM can take the next.
 void placeTasks(PoolState& state, const WaitingStep& waiting, const StartBlocks& blocks, TimePoint now,
-    WallTime wallNow, std::size_t maxStarts, FailedNeeds& failed, std::vector<StartAction>& out)
+    WallTime wallNow, std::size_t maxStarts, FailedNeeds& failed, int& reservationAttempts,
+    std::vector<StartAction>& out)
 {
     auto& job = *waiting.job;
     auto& step = job.occurrences.at(waiting.occurrence).steps[static_cast<std::size_t>(waiting.step)];
@@ -177,6 +180,13 @@
             recordMissingTicket(state, waiting);
             continue;
         }
+        if (!vm && waiting.urgency == Urgency::Serving) {
+            reserveForServing(state, job, id, reservationAttempts, now);
+            recordMissingTicket(state, waiting);
+            if (reservationAttempts <= 0)
+                return;
+            continue;
+        }
         if (!vm) {
             if (isUnconstrained(state, job, stepOf(job, waiting.step)))
                 failed.needs.push_back(reservedBy(stepOf(job, waiting.step)));
@@ -299,6 +309,7 @@
 {
     const StartBlocks blocks { isRecoveryComplete(state, now), findOrphanTasks(state) };
     endTrials(state);
+    dropStaleReservations(state, now);
     if (blocks.isRecoveryComplete)
         attributeEarlierCrashes(state);
     std::vector<WaitingStep> waiting;
@@ -313,6 +324,7 @@
     state.stepsNeedingTickets.clear();
     std::vector<StartAction> out;
     FailedNeeds failed;
+    int reservationAttempts = state.limits.maxReservationAttempts;
     const auto limit = static_cast<std::size_t>(std::max(maxStarts, 0));
     for (const auto& step : waiting) {
         if (out.size() >= limit)
@@ -323,7 +335,7 @@
         if (spec.gang)
             placeGang(state, step, blocks, now, wallNow, out);
         else
-            placeTasks(state, step, blocks, now, wallNow, limit, failed, out);
+            placeTasks(state, step, blocks, now, wallNow, limit, failed, reservationAttempts, out);
     }
     return out;
 }
--- a/src/libscheduler/serving_placement_test.cpp
+++ b/src/libscheduler/serving_placement_test.cpp
@@ -21,6 +21,65 @@
         step.maxUnavailable = 1;
         return step;
     }
+
+    static StepSpec makeShortStep(int count)
+    {
+        auto step = makeStep(count, 2200);
+        step.need.memoryMb = 2300;
+        step.estimate = milliseconds(800);
+        return step;
+    }
+
+    /// Half of the estimate to one and a half times it, so that the tasks on a VM end one by one.
+    static milliseconds runTime(const TaskId& task, const StepSpec& step)
+    {
+        const auto hash = std::hash<std::string> {}(toString(task));
+        return step.estimate / 2 + step.estimate * static_cast<int>(hash % 100) / 100;
+    }
+
+    /// Lets 100 ms pass: short tasks whose time is over end, VMs report, and waiting tasks
+    /// start. Long-running tasks are ready as soon as they have started.
+    void runTick()
+    {
+        advance(milliseconds(100));
+        for (auto& [id, vm] : state.vms) {
+            std::vector<EndReport> ended;
+            for (const auto& task : vm.runs) {
+                const auto& run = *findTask(state, task)->run;
+                const auto& step = stepOf(state.jobs.at(task.job), task.step);
+                const bool isStopping = run.phase == RunPhase::Stopping;
+                if (isStopping || (!step.longRunning && clock.now() - run.createdAt >= runTime(task, step)))
+                    ended.push_back({ ++m_endNumbers[id], task, run.number,
+                        isStopping ? EndKind::Stopped : EndKind::Done, "" });
+            }
+            report(id, std::move(ended));
+        }
+        planEvacuations(state, clock.now());
+        planStops(state, clock.now());
+        startAndAccept();
+        for (auto& [id, vm] : state.vms) {
+            for (const auto& task : vm.runs)
+                findTask(state, task)->run->percent = 100;
+        }
+    }
+
+    /// Keeps more short tasks waiting than the pool can run.
+    void keepBacklog()
+    {
+        while (std::count_if(state.jobs.begin(), state.jobs.end(), [](const auto& entry) {
+            return !isFinal(entry.second.state);
+        }) < 20)
+            submit("short" + std::to_string(++m_jobCount), { makeShortStep(8) });
+    }
+
+    bool isRunning(const std::string& job, int index)
+    {
+        const auto& run = task(job, 0, index).run;
+        return run && run->phase == RunPhase::Running;
+    }
+
+    std::map<std::string, std::uint64_t> m_endNumbers;
+    int m_jobCount = 0;
 };
 
 } // namespace
@@ -50,4 +109,67 @@
     BOOST_TEST((waiting[0].vms == expected));
 }
 
+// Short tasks took each bit of room that became free on the full VMs, so a long-running task that needs much
+// of a VM waited for as long as there was a backlog.
+BOOST_AUTO_TEST_CASE(longRunningTaskIsNotKeptWaitingByABacklogOfShortOnes)
+{
+    for (const char* vm : { "v1", "v2", "v3" })
+        addVm(vm, vmCpu);
+    for (int i = 0; i < 10; ++i) {
+        keepBacklog();
+        runTick();
+    }
+    submit("serving", { makeServingStep(1, 24'000) });
+    milliseconds waited { 0 };
+    for (; !isRunning("serving", 0) && waited < milliseconds(3000); waited += milliseconds(100)) {
+        keepBacklog();
+        runTick();
+    }
+    BOOST_TEST(isRunning("serving", 0));
+    // No longer than the longest short task runs.
+    BOOST_TEST(waited.count() <= 1200);
+}
+
+// Maintenance stopped a long-running task while no other VM had room for it, and it waited for many seconds.
+BOOST_AUTO_TEST_CASE(evacuatedLongRunningTaskRunsUntilAnotherVmHasRoom)
+{
+    addVm("leaving", vmCpu);
+    submit("serving", { makeServingStep(1, 24'000) });
+    runTick();
+    BOOST_REQUIRE(isRunning("serving", 0));
+    for (const char* vm : { "v1", "v2", "v3" })
+        addVm(vm, vmCpu);
+    for (int i = 0; i < 10; ++i) {
+        keepBacklog();
+        runTick();
+    }
+    setEvacuation(state.vms.at("leaving"), "7.1");
+    milliseconds away { 0 };
+    for (milliseconds passed { 0 }; passed < milliseconds(4000); passed += milliseconds(100)) {
+        keepBacklog();
+        runTick();
+        if (!isRunning("serving", 0))
+            away += milliseconds(100);
+    }
+    BOOST_TEST(state.vms.at("leaving").runs.empty());
+    BOOST_TEST(isRunning("serving", 0));
+    BOOST_TEST(away.count() <= 200);
+}
+
+BOOST_AUTO_TEST_CASE(reservationEndsWithItsTask)
+{
+    addVm("v1", vmCpu);
+    for (int i = 0; i < 10; ++i) {
+        keepBacklog();
+        runTick();
+    }
+    submit("serving", { makeServingStep(1, 24'000) });
+    runTick();
+    BOOST_REQUIRE(state.vms.at("v1").reserved.memoryMb == 24'000);
+    cancelJob(state, "serving");
+    runTick();
+    BOOST_TEST((state.vms.at("v1").reserved == Resources {}));
+    BOOST_TEST(state.servingReservations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
