Give pools machines for long-running tasks that lack memory

Cause: the demand of a pool counts CPU. Long-running tasks that need memory were not in it, so at another queue's peak the pool gave away all machines but those that ran such tasks, and one; a maintenance wave then evacuated a third of these, and the demand showed no machine missing (trace: 45 machines, 45 required, ten tasks refused for memory by every VM).

Ruled out: maxPerVm and labels alone (of 28 VMs with a sibling and two without, the two lacked memory); the start window (outstanding 0).

Change: the load of a pool has the machines that are missing for long-running tasks that wait or have to leave their VM, by first fit into the room beside other long-running tasks. The coordinator fills these before anything else, from surplus machines and then from those of other pools that run no long-running task; a row of an earlier build has none.

Evidence: poolNeedsMachinesForLongRunningTasksThatLackMemory and poolWhoseLongRunningTasksLackMachinesComesBeforeAPeak don't compile on the code before, which has no such demand.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -31,6 +31,8 @@
     std::int64_t waitingServingCpu = 0; ///< needed by ready long-running tasks that no VM runs
     /// Part of waitingCpu and overdueCpu that fits on no VM beside its long-running tasks.
     std::int64_t unfitCpu = 0;
+    int missingServingMachines
+        = 0; ///< for long-running tasks that wait or have to leave, and fit on no VM beside others
     int minMachines = 0; ///< fewest machines that satisfy maxPerVm of every long-running step
     std::int64_t capacityCpu = 0; ///< of the VMs that accept work
     int workingMachines = 0; ///< number of these VMs
@@ -124,6 +126,7 @@
     std::string name;
     int machineCount = 0; ///< machines in the pool or moving to it
     int mustStayCount = 0; ///< of these, those with long-running tasks or without a report
+    int servingMachines = 0; ///< required by long-running tasks alone
     int requiredMachines = 0; ///< without overdue work
     int machinesForOverdueWork = 0; ///< further machines
     std::vector<const Machine*> removable; ///< machines that may be moved away, least loaded first
@@ -134,7 +137,8 @@
 /// New tasks for machines whose maintenance begins now.
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// New moves of machines to pools that need them: standby machines first, then the least loaded machines of
-/// pools with a surplus. Machines with long-running tasks are not moved. Pools get machines for overdue work
+/// pools with a surplus. Machines with long-running tasks are not moved. Pools whose long-running tasks lack
+/// machines come first and may get machines that other work needs. Pools get machines for overdue work
 /// only from what remains once every pool has what its other work needs.
 std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// Whether the machine is evacuated, so that the coordinator may send the command for the task.
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -64,6 +64,7 @@
     PoolDemand demand { .name = pool };
     const auto load = state.loads.find(pool);
     int upMachines = 0;
+    int leavingCount = 0; ///< machines without long-running tasks that are evacuated for maintenance
     for (const auto& [id, machine] : state.machines) {
         const auto task = state.tasks.find(id);
         const bool isMoving = task != state.tasks.end() && task->second.action == MachineAction::Move;
@@ -75,20 +76,23 @@
         ++upMachines;
         const bool mustStay = load == state.loads.end() || load->second.serving.contains(id);
         demand.mustStayCount += mustStay;
+        const bool isLeaving = task != state.tasks.end() && task->second.action == MachineAction::Maintain;
+        leavingCount += !mustStay && isLeaving;
         if (!mustStay && isMovable(state, machine, limits, now))
             demand.removable.push_back(&machine);
     }
     const bool isLoadKnown = load != state.loads.end();
     const bool lostAllMachines = isLoadKnown && hasLostAllMachines(load->second, upMachines);
     if (!isLoadKnown || (!lostAllMachines && (upMachines == 0 || load->second.workingMachines == 0))) {
-        demand.requiredMachines = demand.machineCount;
+        demand.servingMachines = demand.requiredMachines = demand.machineCount;
         return demand;
     }
     const double cpuPerMachine = lostAllMachines
         ? averageCpuPerMachine(state)
         : static_cast<double>(load->second.capacityCpu) / load->second.workingMachines;
     if (cpuPerMachine <= 0) {
-        demand.requiredMachines = demand.machineCount; // the size of a machine is unknown
+        // The size of a machine is unknown.
+        demand.servingMachines = demand.requiredMachines = demand.machineCount;
         return demand;
     }
     const auto runCount = [&](const Machine* machine) {
@@ -101,8 +105,10 @@
     // A large task may fit on no single machine although the total free CPU is enough.
     const int emptyMachines
         = static_cast<int>(std::ceil(static_cast<double>(load->second.unfitCpu) / cpuPerMachine));
-    demand.requiredMachines
-        = std::max({ machinesForCpu, demand.mustStayCount + emptyMachines, load->second.minMachines })
+    demand.servingMachines = demand.mustStayCount + load->second.missingServingMachines
+        + (load->second.missingServingMachines > 0 ? leavingCount : 0);
+    demand.requiredMachines = std::max({ machinesForCpu, demand.mustStayCount + emptyMachines,
+                                  load->second.minMachines, demand.servingMachines })
         + limits.minIdleMachines;
     const double overdueCpu = static_cast<double>(load->second.overdueUsedCpu)
         + backlogCpu(load->second.overdueCpu, load->second.overdueWork, limits);
@@ -121,15 +127,21 @@
     return out;
 }
 
-/// Moves \p standby machines first, then surplus ones, to the pools that lack machines. Applies the moves to
-/// \p pools, and removes the machines that it moves from both lists.
-void fillPools(const FleetState& state, std::vector<PoolDemand>& pools, std::vector<const Machine*>& standby,
-    std::vector<MachineTask>& out)
+/// A number of machines of PoolDemand.
+using MachineNumber = int PoolDemand::*;
+
+/// Moves \p standby machines first, then those beyond \p kept of each pool, to the pools that have fewer than
+/// \p wanted. Applies the moves to \p pools, and removes the machines that it moves from both lists.
+void fillPools(const FleetState& state, MachineNumber wanted, MachineNumber kept,
+    std::vector<PoolDemand>& pools, std::vector<const Machine*>& standby, std::vector<MachineTask>& out)
 {
+    const auto lacking = [wanted](const PoolDemand& pool) { return pool.*wanted - pool.machineCount; };
+    if (std::none_of(pools.begin(), pools.end(), [&](const PoolDemand& pool) { return lacking(pool) > 0; }))
+        return;
     auto available = standby;
     std::map<const Machine*, PoolDemand*> owners;
     for (auto& pool : pools) {
-        const int surplus = pool.machineCount - pool.requiredMachines;
+        const int surplus = pool.machineCount - pool.*kept;
         for (int i = 0; i < surplus && i < static_cast<int>(pool.removable.size()); ++i) {
             const auto* machine = pool.removable[static_cast<std::size_t>(i)];
             available.push_back(machine);
@@ -139,12 +151,11 @@
     std::vector<PoolDemand*> neediest;
     for (auto& pool : pools)
         neediest.push_back(&pool);
-    std::sort(neediest.begin(), neediest.end(), [](const PoolDemand* a, const PoolDemand* b) {
-        return a->requiredMachines - a->machineCount > b->requiredMachines - b->machineCount;
-    });
+    std::sort(neediest.begin(), neediest.end(),
+        [&](const PoolDemand* a, const PoolDemand* b) { return lacking(*a) > lacking(*b); });
     auto next = available.begin();
     for (auto* pool : neediest) {
-        for (; pool->machineCount < pool->requiredMachines && next != available.end(); ++next) {
+        for (; lacking(*pool) > 0 && next != available.end(); ++next) {
             const auto* machine = *next;
             if (state.refusedMoves.contains({ machine->id, pool->name }))
                 continue;
@@ -177,10 +188,13 @@
     auto pools = computeDemands(state, limits, now);
     auto standby = movableStandbyMachines(state, limits, now);
     std::vector<MachineTask> out;
-    fillPools(state, pools, standby, out);
+    // Long-running tasks first: their users notice any time without them.
+    fillPools(state, &PoolDemand::servingMachines, &PoolDemand::requiredMachines, pools, standby, out);
+    fillPools(state, &PoolDemand::servingMachines, &PoolDemand::servingMachines, pools, standby, out);
+    fillPools(state, &PoolDemand::requiredMachines, &PoolDemand::requiredMachines, pools, standby, out);
     for (auto& pool : pools)
         pool.requiredMachines += pool.machinesForOverdueWork;
-    fillPools(state, pools, standby, out);
+    fillPools(state, &PoolDemand::requiredMachines, &PoolDemand::requiredMachines, pools, standby, out);
     return out;
 }
 
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -115,10 +115,11 @@
                     { "overdueCpu", load.overdueCpu }, { "overdueWork", load.overdueWork },
                     { "overdueUsedCpu", load.overdueUsedCpu }, { "arrivingCpu", load.arrivingCpu },
                     { "usedCpu", load.usedCpu }, { "servingCpu", load.servingCpu },
-                    { "waitingServingCpu", load.waitingServingCpu }, { "minMachines", load.minMachines },
-                    { "unfitCpu", load.unfitCpu }, { "capacityCpu", load.capacityCpu },
-                    { "workingMachines", load.workingMachines }, { "runs", load.runs },
-                    { "serving", load.serving }, { "empty", load.empty } })
+                    { "waitingServingCpu", load.waitingServingCpu },
+                    { "missingServingMachines", load.missingServingMachines },
+                    { "minMachines", load.minMachines }, { "unfitCpu", load.unfitCpu },
+                    { "capacityCpu", load.capacityCpu }, { "workingMachines", load.workingMachines },
+                    { "runs", load.runs }, { "serving", load.serving }, { "empty", load.empty } })
         .dump();
 }
 
@@ -131,7 +132,8 @@
         PoolLoad load;
         load.waitingCpu = value.at("waitingCpu").get<std::int64_t>();
         load.waitingWork = value.at("waitingWork").get<std::int64_t>();
-        // Rows of earlier builds lack these three.
+        // Rows of earlier builds lack these four.
+        load.missingServingMachines = value.value("missingServingMachines", 0);
         load.overdueUsedCpu = value.value("overdueUsedCpu", std::int64_t(0));
         load.overdueCpu = value.value("overdueCpu", std::int64_t(0));
         load.overdueWork = value.value("overdueWork", std::int64_t(0));
--- a/src/libscheduler/fleet_plan_test.cpp
+++ b/src/libscheduler/fleet_plan_test.cpp
@@ -294,6 +294,28 @@
     BOOST_TEST(std::all_of(moves.begin(), moves.end(), [](const auto& move) { return move.toPool == "b"; }));
 }
 
+// Maintenance evacuated a third of a pool that had no machine more than its long-running tasks need, while
+// other pools had a peak. The tasks were stopped and waited for many seconds.
+BOOST_AUTO_TEST_CASE(poolWhoseLongRunningTasksLackMachinesComesBeforeAPeak)
+{
+    setBacklog("b", 100);
+    state.loads["a"].serving = { "a0", "a1", "a2", "a3" };
+    state.loads["a"].missingServingMachines = 2;
+    const auto moves = planMoves(state, limits, clock.now());
+    BOOST_REQUIRE(moves.size() == 2U);
+    for (const auto& move : moves) {
+        BOOST_TEST(move.toPool == "a");
+        BOOST_TEST(state.machines.at(move.machine).pool == "spare");
+    }
+    // Without standby machines they come from the pool with the peak.
+    state.machines.erase("s0");
+    state.machines.erase("s1");
+    const auto fromPeak = planMoves(state, limits, clock.now());
+    BOOST_REQUIRE(fromPeak.size() == 2U);
+    BOOST_TEST(fromPeak[0].toPool == "a");
+    BOOST_TEST(state.machines.at(fromPeak[0].machine).pool == "b");
+}
+
 BOOST_AUTO_TEST_CASE(loadRowOfAnEarlierBuildHasNoOverdueWork)
 {
     auto row = encodeLoad(state.loads["a"]);
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -102,6 +102,60 @@
     }
 }
 
+/// Whether the task has to be placed on another VM than that of its run, if it has one.
+bool lacksPlace(const PoolState& state, const TaskState& task)
+{
+    if (task.done || !task.run)
+        return !task.done;
+    const auto vm = state.vms.find(task.run->vm);
+    return vm != state.vms.end() && isLeaving(vm->second);
+}
+
+/// Largest capacity of a VM in each dimension.
+Resources largestCapacity(const PoolState& state)
+{
+    Resources out;
+    for (const auto& [name, vm] : state.vms) {
+        out.cpu = std::max(out.cpu, vm.entry.capacity.cpu);
+        out.memoryMb = std::max(out.memoryMb, vm.entry.capacity.memoryMb);
+        out.gpu = std::max(out.gpu, vm.entry.capacity.gpu);
+    }
+    return out;
+}
+
+/// Machines that are missing for the long-running tasks without a place, by first fit into \p rooms, the room
+/// beside other long-running tasks. Memory may run out before CPU does.
+int missingServingMachines(const PoolState& state, std::vector<Resources> rooms)
+{
+    const auto capacity = largestCapacity(state);
+    int missing = 0;
+    for (const auto& [id, job] : state.jobs) {
+        if (isFinal(job.state))
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+                const auto& step = stepOf(job, s);
+                const auto need = reservedBy(step);
+                if (!step.longRunning || !isStepReady(job, occurrence, s) || !fits(need, capacity))
+                    continue;
+                for (const auto& task : occurrence.steps[static_cast<std::size_t>(s)].tasks) {
+                    if (!lacksPlace(state, task))
+                        continue;
+                    auto room = std::find_if(rooms.begin(), rooms.end(),
+                        [&](const Resources& candidate) { return fits(need, candidate); });
+                    if (room == rooms.end()) {
+                        rooms.push_back(capacity);
+                        room = std::prev(rooms.end());
+                        ++missing;
+                    }
+                    *room -= need;
+                }
+            }
+        }
+    }
+    return missing;
+}
+
 /// Largest factor by which a rate is forecast to grow. Demand can rise within seconds, but machines moved for
 /// a wrong forecast are missing elsewhere.
 constexpr double maxForecastGrowth = 3;
@@ -251,6 +305,7 @@
                 load.overdueUsedCpu += usedCpu(job, occurrence);
         }
     }
+    load.missingServingMachines = missingServingMachines(state, rooms);
     if (state.areStartsLimited)
         limitToStartRate(load);
     return load;
--- a/src/libscheduler/serving_placement_test.cpp
+++ b/src/libscheduler/serving_placement_test.cpp
@@ -156,6 +156,19 @@
     BOOST_TEST(away.count() <= 200);
 }
 
+// The pool was sized by CPU alone. Its long-running tasks need more memory than the VMs that are left have.
+BOOST_AUTO_TEST_CASE(poolNeedsMachinesForLongRunningTasksThatLackMemory)
+{
+    for (const char* vm : { "v1", "v2", "v3" })
+        addVm(vm, vmCpu);
+    submit("serving", { makeServingStep(3, 20'000) });
+    runTick();
+    BOOST_REQUIRE(computeLoad(state, clock.now(), wallNow).missingServingMachines == 0);
+    setEvacuation(state.vms.at("v1"), "7.1");
+    setEvacuation(state.vms.at("v2"), "7.2");
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).missingServingMachines == 2);
+}
+
 BOOST_AUTO_TEST_CASE(reservationEndsWithItsTask)
 {
     addVm("v1", vmCpu);
