Keep machines that a list of machines lacks for a short time

What callers saw: nothing traced to it.

Cause: the list of machines has several pages, read one after the other; nothing says that they show one moment. The coordinator took a machine that one list lacked for a removed one: its task was abandoned, so maintenance in progress counted as done and the next began while the machine was still down, and a wave could be reported as completed without it. A machine on two pages kept the state of the earlier page.

Until the first list, the machines of recovered tasks and of waves count as existing. The later page wins.

Why it works: a machine that is on no page of one list is on a page of a later one unless it has been removed.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -93,6 +93,7 @@
 struct FleetState {
     FleetConfig config;
     std::map<std::string, Machine> machines; ///< by id
+    std::map<std::string, TimePoint> omittedSince; ///< machines that the last machine list lacks, by id
     std::map<std::string, PoolLoad> loads; ///< by pool
     std::map<std::string, MachineTask> tasks; ///< by machine
     std::map<std::int64_t, WaveState> waves; ///< by number
@@ -117,6 +118,8 @@
     int minIdleMachines = 1;
     /// Time that a machine stays in its pool after its last task.
     milliseconds minStayTime { 3000 };
+    /// A machine counts as removed once all machine lists have lacked it for this time.
+    milliseconds removalDelay { 3000 };
 };
 
 /// Machines that a pool has and needs.
@@ -131,6 +134,10 @@
 
 /// Demand of each pool with a known load, without standby pools.
 std::vector<PoolDemand> computeDemands(const FleetState& state, const FleetLimits& limits, TimePoint now);
+/// Replaces the machines by \p listed. Keeps those that were listed within the removal delay: the pages of a
+/// list are read one after the other, so a list may lack a machine while others change their pools.
+void updateMachines(
+    FleetState& state, std::map<std::string, Machine> listed, const FleetLimits& limits, TimePoint now);
 /// New tasks for machines whose maintenance begins now.
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// New moves of machines to pools that need them: standby machines first, then the least loaded machines of
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -49,8 +49,13 @@
     m_begun = true;
     m_state.config = config;
     m_state.tasks = m_context.rows.tasks();
-    for (const auto& [machine, task] : m_state.tasks)
+    for (const auto& [machine, task] : m_state.tasks) {
         m_committedTasks[machine] = encodeTask(task);
+        // Until the first list that contains it.
+        const bool isMove = task.action == MachineAction::Move;
+        m_state.machines[machine]
+            = { machine, "", isMove ? MachineState::Moving : MachineState::Maintenance, "" };
+    }
     for (const auto& [number, wave] : waves)
         applyWave(wave);
     logEvent(LogLevel::Info, "coordinator_begun",
@@ -70,6 +75,9 @@
     it->second.request = wave;
     if (!added)
         return;
+    // Until the first list, every machine of the wave exists, so that the wave isn't complete.
+    for (const auto& machine : wave.machines)
+        m_state.machines.try_emplace(machine, Machine { machine, "", MachineState::Down, "" });
     const auto wallNow = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
     const auto record = m_context.rows.waves().find(wave.number);
     if (record != m_context.rows.waves().end()) {
@@ -174,9 +182,10 @@
         // The platform may still report a machine as up after its VM has crashed.
         if (machine.state == MachineState::Up && m_unregisteredVms.contains(machine.vm))
             machine.state = MachineState::Down;
-        listed.emplace(id, isStale ? m_state.machines[id] : std::move(machine));
+        // A machine that is on two pages changed its pool in between; the later page is newer.
+        listed.insert_or_assign(id, isStale ? m_state.machines[id] : std::move(machine));
     }
-    m_state.machines = std::move(listed);
+    updateMachines(m_state, std::move(listed), m_limits, m_context.clock.now());
     m_hasMachineList = true;
     detectRepeatedCommands();
 }
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-/// In-memory machines. Each command takes effect at once: the machine has a new VM.
+/// In-memory machines. Each command takes effect at once: the machine has a new VM, or is down until
+/// bringUp().
 class FakeMachines final : public MachineControl {
 public:
     explicit FakeMachines(event_base* base)
@@ -23,12 +24,24 @@
     std::map<std::string, Machine> machines;
     int maintenanceCommands = 0;
     bool ignoresCommands = false; ///< accepts maintenance commands without effect
+    bool takesTime = false; ///< machines under maintenance are down until bringUp()
+    std::set<std::string> omitted; ///< machines that lists lack
+    int lists = 0;
+
+    void bringUp(const std::string& machine)
+    {
+        machines[machine].state = MachineState::Up;
+        machines[machine].vm += "'";
+    }
 
     void list(std::function<void(tl::expected<std::vector<Machine>, CommandOutcome>)> callback) override
     {
+        ++lists;
         std::vector<Machine> out;
-        for (const auto& [id, machine] : machines)
-            out.push_back(machine);
+        for (const auto& [id, machine] : machines) {
+            if (!omitted.contains(id))
+                out.push_back(machine);
+        }
         postResponse([callback, out] { callback(out); });
     }
 
@@ -44,7 +57,9 @@
         const std::string& machine, std::int64_t, std::uint64_t, CommandCallback callback) override
     {
         ++maintenanceCommands;
-        if (!ignoresCommands)
+        if (takesTime)
+            machines[machine].state = MachineState::Maintenance;
+        else if (!ignoresCommands)
             machines[machine].vm += "'";
         postResponse([callback] { callback(CommandOutcome::Accepted); });
     }
@@ -140,3 +155,40 @@
     fleetRows.apply({ rows::poolPart("a"), std::string(loadKey), encodeLoad(load), 1 });
     BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 20s));
 }
+
+BOOST_FIXTURE_TEST_CASE(machineThatAListLacksStillCountsAsDown, CoordinatorFixture)
+{
+    // The list has several pages, read one after the other. A machine may be on none of them while other
+    // machines change their pools. Its maintenance was taken for finished, and the next one began.
+    config.pools["off"] = { "off", true, false };
+    machines.machines["m1"] = { "m1", "off", MachineState::Up, "" };
+    machines.machines["m2"] = { "m2", "off", MachineState::Up, "" };
+    machines.takesTime = true;
+    wave.machines = { "m1", "m2" };
+    begin();
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    machines.omitted = { "m1" };
+    const int earlierLists = machines.lists;
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.lists > earlierLists + 1; }, 20s));
+    BOOST_TEST(machines.maintenanceCommands == 1);
+    machines.omitted.clear();
+    machines.bringUp("m1");
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
+    machines.bringUp("m2");
+    BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 20s));
+}
+
+BOOST_FIXTURE_TEST_CASE(waveIsNotCompleteWhileAListLacksOneOfItsMachines, CoordinatorFixture)
+{
+    // The first list after a takeover lacked the wave's last machine, and the wave was reported as completed.
+    config.pools["off"] = { "off", true, false };
+    machines.machines["m1"] = { "m1", "off", MachineState::Up, "" };
+    machines.omitted = { "m1" };
+    wave.machines = { "m1" };
+    begin();
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.lists == 2; }, 20s));
+    BOOST_TEST(!isReportedDone());
+    machines.omitted.clear();
+    BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 20s));
+    BOOST_TEST(machines.maintenanceCommands == 1);
+}
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -177,6 +177,24 @@
     }
 }
 
+void updateMachines(
+    FleetState& state, std::map<std::string, Machine> listed, const FleetLimits& limits, TimePoint now)
+{
+    std::map<std::string, TimePoint> omittedSince;
+    for (auto& [id, machine] : state.machines) {
+        if (listed.contains(id))
+            continue;
+        const auto earlier = state.omittedSince.find(id);
+        const auto since = earlier == state.omittedSince.end() ? now : earlier->second;
+        if (now - since < limits.removalDelay)
+            omittedSince.emplace(id, since);
+    }
+    for (const auto& [id, since] : omittedSince)
+        listed.emplace(id, std::move(state.machines[id]));
+    state.machines = std::move(listed);
+    state.omittedSince = std::move(omittedSince);
+}
+
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now)
 {
     std::vector<MachineTask> started;
--- a/src/libscheduler/fleet_plan_test.cpp
+++ b/src/libscheduler/fleet_plan_test.cpp
@@ -146,6 +146,36 @@
     BOOST_TEST(!isAbandoned(state, ordered));
 }
 
+BOOST_AUTO_TEST_CASE(machineIsRemovedOnceListsHaveLackedItForSomeTime)
+{
+    auto listed = state.machines;
+    listed.erase("a0");
+    updateMachines(state, listed, limits, clock.now());
+    BOOST_TEST(state.machines.contains("a0"));
+    clock.advance(limits.removalDelay - 1ms);
+    updateMachines(state, listed, limits, clock.now());
+    BOOST_TEST(state.machines.contains("a0"));
+    clock.advance(1ms);
+    updateMachines(state, listed, limits, clock.now());
+    BOOST_TEST(!state.machines.contains("a0"));
+    BOOST_TEST(state.machines.size() == listed.size());
+}
+
+BOOST_AUTO_TEST_CASE(removalDelayOfAMachineStartsAnewWhenItIsListed)
+{
+    const auto complete = state.machines;
+    auto incomplete = complete;
+    incomplete.erase("a0");
+    for (int i = 0; i < 4; ++i) {
+        updateMachines(state, incomplete, limits, clock.now());
+        clock.advance(limits.removalDelay / 2);
+        updateMachines(state, complete, limits, clock.now());
+        clock.advance(limits.removalDelay / 2);
+    }
+    updateMachines(state, incomplete, limits, clock.now());
+    BOOST_TEST(state.machines.contains("a0"));
+}
+
 BOOST_AUTO_TEST_CASE(waveIsCompleteOnlyWhenEveryRemainingMachineIsDone)
 {
     addWave({ "a0", "gone" }, 4);
