Suspend the entry VM while a draining row is one that controllers keep

Cause: the test is wrong. It writes a status row with the phase draining and no operation. The holder of the pool's controller lease takes that for a cancelled operation and sets the phase to attaching a few milliseconds later. The test passes only if the suspended daemon is the holder, or if one of its looks, 20 ms apart, falls in between.

Ruled out: a fault of the daemon. It shows the row, and resets an operation that does not exist, as designed.

Change: the row names the operation of a paused wave, so that whichever daemon holds the lease goes on with the drain; the VM is not listed, so the drain can't end. The test runs twice, with the holder and with the other daemon suspended, and checks that the table accepted the row and that the VM is still draining when the daemon resumes. Everything that it checked before it checks in both runs.

--- a/testsuite/requests/leaving_test.cpp
+++ b/testsuite/requests/leaving_test.cpp
@@ -90,43 +90,85 @@
     BOOST_TEST(requestCount <= 2 + static_cast<int>(seconds));
 }
 
-BOOST_FIXTURE_TEST_CASE(resumedEntryVmDoesNotRouteByItsStaleList, LeavingFixture)
-{
-    fleet.daemon("a").process->signal(SIGSTOP);
-    fleet.publishVmList({ "e2" });
-    // The status row is set to draining while the entry VM is suspended.
-    const auto [status, vm] = fleet.callJson(fleet.daemon("b").admin, "GET", "/v1/vms/e2");
-    BOOST_REQUIRE(status == 200);
-    fleet.callJson(fleet.platform(), "POST", "/table/commit",
-        { { "conditions", json::array() },
-            { "writes",
-                { { { "key", "f/s/vm/e2" },
-                    { "value", json({ { "pool", "pricing" }, { "phase", "draining" } }).dump() } } } } });
-    BOOST_REQUIRE(fleet.eventually([&] {
-        return fleet.callJson(fleet.daemon("b").admin, "GET", "/v1/vms/e2").second["status"]["phase"]
+namespace {
+
+struct ResumeFixture : LeavingFixture {
+    ResumeFixture()
+    {
+        fleet.create(admin(), "waves", "w1", { { "pool", "pricing" }, { "paused", true } });
+        BOOST_REQUIRE(fleet.eventually([&] { return !leaseHolder().empty(); }));
+    }
+
+    /// Daemon that holds the lease of the pool's controller.
+    std::string leaseHolder()
+    {
+        const auto [status, row] = fleet.callJson(fleet.platform(), "GET", "/table/row?key=l/pool/pricing");
+        return status == 200 ? json::parse(row.value("value", "{}")).value("holder", "") : "";
+    }
+
+    /// Sets the status row of e2 to draining. The controller keeps to it: the operation's wave exists, and
+    /// the VM, which is not listed, can't be drained.
+    void setDraining()
+    {
+        const json row = { { "pool", "pricing" }, { "phase", "draining" }, { "operation", "wave/w1" } };
+        const auto [status, reply] = fleet.callJson(fleet.platform(), "POST", "/table/commit",
+            { { "conditions", json::array() },
+                { "writes", { { { "key", "f/s/vm/e2" }, { "value", row.dump() } } } } });
+        BOOST_REQUIRE(status == 200);
+    }
+
+    bool isDraining(const std::string& node)
+    {
+        return fleet.callJson(fleet.daemon(node).admin, "GET", "/v1/vms/e2").second["status"]["phase"]
             == "draining";
-    }));
-    const auto before = fleet.runsOf("e2").size();
-    // Requests queue in the sockets of the suspended process, which reads them as soon as it resumes.
-    int answered = 0;
-    int refused = 0;
-    for (int i = 0; i < 40; ++i) {
-        fleet.client().send(fleet.daemon("a").callers, { .path = "/pricing/x" }, 20s, [&](HttpResult result) {
-            ++answered;
-            BOOST_REQUIRE(result);
-            refused += result->status == 503;
-            if (result->status == 503) {
-                BOOST_TEST(outcomeOf(*result) == "not-run");
-                BOOST_TEST(hasRetryAfter(*result));
-            }
-        });
     }
-    fleet.eventually([] { return false; }, removalBound);
-    fleet.setPlatformFaults({ { "table", "slow" }, { "slowMs", 300 } });
-    fleet.daemon("a").process->signal(SIGCONT);
-    BOOST_TEST(fleet.eventually([&] { return answered == 40; }));
-    BOOST_TEST(fleet.runsOf("e2").size() == before);
-    BOOST_TEST(refused > 0);
-    BOOST_TEST(fleet.eventually([&] { return get("a", "/pricing/x").status == 200; }));
-    BOOST_TEST(fleet.runsOf("e2").size() == before);
+
+    /// Suspends a daemon, shows e2 as leaving in the VM list and in its status row meanwhile, and checks what
+    /// the resumed daemon does with the requests that have arrived.
+    void checkResumed(const std::string& suspended, const std::string& other)
+    {
+        fleet.daemon(suspended).process->signal(SIGSTOP);
+        fleet.publishVmList({ "e2" });
+        setDraining();
+        BOOST_REQUIRE(fleet.eventually([&] { return isDraining(other); }));
+        const auto before = fleet.runsOf("e2").size();
+        // Requests queue in the sockets of the suspended process, which reads them as soon as it resumes.
+        int answered = 0;
+        int refused = 0;
+        for (int i = 0; i < 40; ++i) {
+            fleet.client().send(
+                fleet.daemon(suspended).callers, { .path = "/pricing/x" }, 20s, [&](HttpResult result) {
+                    ++answered;
+                    BOOST_REQUIRE(result);
+                    refused += result->status == 503;
+                    if (result->status == 503) {
+                        BOOST_TEST(outcomeOf(*result) == "not-run");
+                        BOOST_TEST(hasRetryAfter(*result));
+                    }
+                });
+        }
+        fleet.eventually([] { return false; }, removalBound);
+        BOOST_TEST(isDraining(other));
+        fleet.setPlatformFaults({ { "table", "slow" }, { "slowMs", 300 } });
+        fleet.daemon(suspended).process->signal(SIGCONT);
+        BOOST_TEST(fleet.eventually([&] { return answered == 40; }));
+        BOOST_TEST(fleet.runsOf("e2").size() == before);
+        BOOST_TEST(refused > 0);
+        BOOST_TEST(fleet.eventually([&] { return get(suspended, "/pricing/x").status == 200; }));
+        BOOST_TEST(fleet.runsOf("e2").size() == before);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(resumedEntryVmDoesNotRouteByItsStaleList, ResumeFixture)
+{
+    const auto holder = leaseHolder();
+    checkResumed(holder, holder == "a" ? "b" : "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedEntryVmDoesNotRouteByItsStaleListBesideAnActiveController, ResumeFixture)
+{
+    const auto holder = leaseHolder();
+    checkResumed(holder == "a" ? "b" : "a", holder);
 }
