Count a machine as down while its command has no answer

What callers saw: nothing traced to it; found by reading (rule LIMIT: machines of a wave down at once).

Cause: if the response to a maintenance command is lost but the platform carries the command out, the registration of the machine's VM ends. The coordinator took the machine for a crashed one and abandoned its task, so the next maintenance began while the machine was down for its own.

Change: after a command without an answer, the task is not abandoned before a list of machines requested later shows the machine's state, or lists lack it for so long that it counts as removed.

Why it works: a list requested after the command's end shows maintenance that was carried out; one that was not is sent again.

--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -185,7 +185,10 @@
         // A machine that is on two pages changed its pool in between; the later page is newer.
         listed.insert_or_assign(id, isStale ? m_state.machines[id] : std::move(machine));
     }
+    std::erase_if(m_unansweredAt,
+        [&](const auto& entry) { return listed.contains(entry.first) && entry.second < m_listRequestedAt; });
     updateMachines(m_state, std::move(listed), m_limits, m_context.clock.now());
+    std::erase_if(m_unansweredAt, [&](const auto& entry) { return !m_state.machines.contains(entry.first); });
     m_hasMachineList = true;
     detectRepeatedCommands();
 }
@@ -294,6 +297,10 @@
         return;
     if (outcome == CommandOutcome::Superseded)
         m_ledger.raiseFencingToken();
+    if (outcome == CommandOutcome::Unknown)
+        m_unansweredAt[machine] = m_context.clock.now();
+    else if (outcome == CommandOutcome::Accepted)
+        m_unansweredAt.erase(machine);
     if (outcome == CommandOutcome::Invalid && found->second.action == MachineAction::Move) {
         // The platform rejects the move; the machine stays in its pool.
         m_state.refusedMoves.insert({ machine, found->second.toPool });
@@ -319,7 +326,10 @@
     for (auto it = m_state.tasks.begin(); it != m_state.tasks.end();) {
         const auto& task = it->second;
         const auto committed = m_committedTasks.find(it->first);
-        const bool isTaskAbandoned = isAbandoned(m_state, task) && !m_commandsInFlight.contains(it->first);
+        // The registration of a machine's VM also ends if the platform carries out an unanswered command.
+        const bool mayBeCarriedOut
+            = m_commandsInFlight.contains(it->first) || m_unansweredAt.contains(it->first);
+        const bool isTaskAbandoned = isAbandoned(m_state, task) && !mayBeCarriedOut;
         if (committed == m_committedTasks.end() || committed->second != encodeTask(task)
             || !(hasMachineReturned(m_state, task) || isTaskAbandoned)) {
             ++it;
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -25,6 +25,7 @@
     int maintenanceCommands = 0;
     bool ignoresCommands = false; ///< accepts maintenance commands without effect
     bool takesTime = false; ///< machines under maintenance are down until bringUp()
+    bool losesResponses = false; ///< carries out commands without a response
     std::set<std::string> omitted; ///< machines that lists lack
     int lists = 0;
 
@@ -56,12 +57,15 @@
     void startMaintenance(
         const std::string& machine, std::int64_t, std::uint64_t, CommandCallback callback) override
     {
+        if (machines[machine].state != MachineState::Up)
+            return postResponse([callback] { callback(CommandOutcome::Refused); });
         ++maintenanceCommands;
         if (takesTime)
             machines[machine].state = MachineState::Maintenance;
         else if (!ignoresCommands)
             machines[machine].vm += "'";
-        postResponse([callback] { callback(CommandOutcome::Accepted); });
+        const auto outcome = losesResponses ? CommandOutcome::Unknown : CommandOutcome::Accepted;
+        postResponse([callback, outcome] { callback(outcome); });
     }
 
 private:
@@ -192,3 +196,32 @@
     BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 20s));
     BOOST_TEST(machines.maintenanceCommands == 1);
 }
+
+BOOST_FIXTURE_TEST_CASE(machineOfAnUnansweredCommandCountsAsDown, CoordinatorFixture)
+{
+    // The platform carried out a command whose response was lost, so the registration of the machine's VM
+    // ended. The machine was taken for a crashed one, and the next maintenance began.
+    config.pools["a"] = { "a", false, false };
+    for (const char* number : { "1", "2", "3", "4", "5", "6" }) {
+        const auto id = std::string("m") + number;
+        machines.machines[id] = { id, "a", MachineState::Up, std::string("vm-") + number };
+    }
+    machines.takesTime = machines.losesResponses = true;
+    wave.machines = { "m1", "m2" };
+    begin();
+    PoolLoad load; // shows both machines as empty for this coordinator's first tasks
+    const auto term = std::to_string(coordinator->acquiredVersion());
+    load.empty = { { "m1", term + ".1" }, { "m2", term + ".2" } };
+    fleetRows.apply({ rows::poolPart("a"), std::string(loadKey), encodeLoad(load), 1 });
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    VmRegistration vm;
+    vm.id = "vm-1";
+    vm.machine = "m1";
+    coordinator->removeVm(vm);
+    const int earlierLists = machines.lists;
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.lists > earlierLists + 1; }, 20s));
+    BOOST_TEST(machines.maintenanceCommands == 1);
+    machines.losesResponses = false;
+    machines.bringUp("m1");
+    BOOST_TEST(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
+}
