Wait after a takeover only for VMs that were there before it

Cause: since a new holder requests the list of machines each second, and recovery is complete once every VM of the newest list has reported. A VM reports about a second after it is first listed (registration, its way to the holder, first heartbeat). While machines join the pool one after the other, the newest list always has a VM that has not reported, so all tasks of recovered jobs wait for the deadline, 10.6 s.

Ruled out: that VMs which joined later have to be waited for. No earlier holder knew them: the first list is requested after the lease was acquired.

Change: the first list says which VMs there are, later ones only take VMs off. The log says when recovery is complete.

Evidence: with the replacing list of vmsThatJoinAfterATakeoverDoNotDelayRecovery starts nothing; it passes now.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -80,6 +80,8 @@
 
     /// Requests the list of machines at intervals until the recovery after a takeover is complete.
     void requestMachineList(TimePoint now);
+    /// Logs once that the recovery after a takeover is complete.
+    void logRecovery(TimePoint now);
     void applyEvacuation(VmState& vm) const;
     /// Adds a job together with the progress that an earlier holder recorded.
     void addRecordedJob(JobSpec job, const JobRecord& record);
@@ -147,6 +149,8 @@
     TimePoint m_loadLoggedAt {};
     TimePoint m_waitingLoggedAt {};
     TimePoint m_nextListAt {}; ///< earliest time of the next list of machines
+    TimePoint m_begunAt {};
+    bool m_isRecovering = false; ///< after a takeover, until isRecoveryComplete()
     bool m_isListing = false; ///< a list of machines is requested
     bool m_begun = false;
     bool m_ended = false;
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -16,6 +16,10 @@
 std::vector<StartAction> planStarts(
     PoolState& state, TimePoint now, WallTime wallNow, int maxStarts = std::numeric_limits<int>::max());
 
+/// Applies a list of the pool's VMs, requested after the takeover. VMs that only a later list contains joined
+/// since, so no earlier holder has used them.
+void applyPlatformVms(PoolState& state, std::set<std::string> vms);
+
 /// Whether every run that an earlier holder started is known or has ended, so that the tasks of recovered
 /// jobs may be started.
 bool isRecoveryComplete(const PoolState& state, TimePoint now);
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -267,8 +267,8 @@
     /// After a takeover: until then tasks of recovered jobs may run on VMs that have not reported, and VMs
     /// may have leases that an earlier holder has granted.
     TimePoint recoveryDeadline {};
-    /// VMs of the pool according to the platform; the registry may lack some of them for a while after an
-    /// outage. Empty optional: the platform has not responded yet.
+    /// VMs that an earlier holder may have used, according to the platform; the registry may lack some of
+    /// them for a while after an outage. Empty optional: the platform has not responded yet.
     std::optional<std::set<std::string>> platformVms;
     std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
 };
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -86,9 +86,10 @@
     m_startsUnlimitedAt = now;
     m_state.limits.maxVmLease = m_maxVmLease;
     m_state.limits.vmLease = std::min(m_state.limits.vmLease, m_maxVmLease);
-    if (m_state.term > 0) {
+    m_begunAt = now;
+    m_isRecovering = m_state.term > 0;
+    if (m_isRecovering)
         m_state.recoveryDeadline = recoveryDeadlineAfter(m_state.limits, now);
-    }
     applyConfig(config);
     for (const auto& [id, vm] : vms)
         listVm(vm);
@@ -123,11 +124,24 @@
                 if (machine.pool == m_state.pool && machine.state == MachineState::Up && !machine.vm.empty())
                     vms.insert(machine.vm);
             }
-            m_state.platformVms = std::move(vms);
+            applyPlatformVms(m_state, std::move(vms));
             scheduleReconcile(reconcileDelay);
         });
 }
 
+void PoolHolder::logRecovery(TimePoint now)
+{
+    if (!m_isRecovering || !isRecoveryComplete(m_state, now))
+        return;
+    m_isRecovering = false;
+    const auto silent = std::count_if(m_state.vms.begin(), m_state.vms.end(),
+        [](const auto& entry) { return entry.second.isRegistered && !entry.second.hasReported; });
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - m_begunAt);
+    logEvent(LogLevel::Info, "recovery_complete",
+        { { "pool", m_state.pool }, { "after_ms", std::to_string(elapsed.count()) },
+            { "silent_vms", std::to_string(silent) } });
+}
+
 void PoolHolder::applyConfig(const FleetConfig& config)
 {
     m_state.queues.clear();
@@ -249,6 +263,7 @@
         return;
     const auto now = m_context.clock.now();
     requestMachineList(now);
+    logRecovery(now);
     expireLeases(m_state, now);
     planEvacuations(m_state, now);
     sendStops(now);
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -283,6 +283,14 @@
 
 } // namespace
 
+void applyPlatformVms(PoolState& state, std::set<std::string> vms)
+{
+    if (!state.platformVms)
+        state.platformVms = std::move(vms);
+    else
+        std::erase_if(*state.platformVms, [&](const std::string& id) { return !vms.contains(id); });
+}
+
 bool isRecoveryComplete(const PoolState& state, TimePoint now)
 {
     if (now >= state.recoveryDeadline)
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -405,6 +405,28 @@
     BOOST_TEST(starts().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(vmsThatJoinAfterATakeoverDoNotDelayRecovery)
+{
+    // A VM reports about as long after it is first listed as lists are apart. While VMs joined the pool one
+    // after the other, there was always one that had not reported, and recovered tasks waited for the deadline.
+    state.term = 1;
+    state.recoveryDeadline = clock.now() + 10s;
+    submit("j1", { makeStep(1) }, true);
+    addVm("v1", 4000, "r1", false);
+    addVm("v2", 4000, "r1", false);
+    applyPlatformVms(state, { "v1", "v2", "v3" });
+    addVm("v1");
+    BOOST_TEST(starts().empty());
+    advance(1s);
+    addVm("v3");
+    applyPlatformVms(state, { "v1", "v2", "v3", "v4" });
+    BOOST_TEST(starts().empty());
+    advance(1s);
+    addVm("v4");
+    applyPlatformVms(state, { "v1", "v3", "v4", "v5" });
+    BOOST_TEST(starts().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(loadIncludesTasksThatFitOnNoVm)
 {
     addVm("v1", 4000);
