Start tasks after a takeover whose earlier runs are all known

Ruled out: a shorter wait for all tasks. The silent VM may have the longest lease, and a run that only it knows would run twice.

Change: two kinds of tasks don't wait. Of a task that a VM has listed as running to this holder, under its fencing token, no other run exists: an earlier holder started a run only once the one before it had ended. A step with a predecessor that was listed so was not ready before the takeover. Gangs are left out as predecessors, since one end represents all members while others may still be listed, and tasks with a recorded trial wait for its result.

What remains: tasks that wait since before the takeover, or whose last end was listed only as an end, still wait.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -71,6 +71,9 @@
     int provenTrialCrashes = 0; ///< of these, those where a later boot or another VM has responded since
     bool isSuspect = false; ///< may have caused a crash; its runs begin with a trial
     std::optional<EarlierRun> earlierRun; ///< not yet known whether it ended with a crash of its VM
+    /// A VM has listed a run of the task as running to this holder, so no run of an earlier holder is
+    /// unknown.
+    bool wasListed = false;
 };
 
 /// Permission of the advice service to run a step on a VM.
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -69,9 +69,31 @@
     std::set<TaskId> orphanTasks; ///< a VM still runs them, without being expected to
 };
 
-bool isWaiting(const JobEntry& job, const TaskState& task, const StartBlocks& blocks)
+/// Whether a task that the step depends on has run since the takeover, so that no earlier holder has started
+/// the step. The end of one member of a gang may have been known earlier, while the others were still listed.
+bool becameReadySinceTakeover(const JobEntry& job, const OccurrenceState& occurrence, int step)
 {
-    return !task.done && !task.run && (blocks.isRecoveryComplete || !job.isRecovered);
+    for (int before : stepOf(job, step).after) {
+        const auto& tasks = occurrence.steps[static_cast<std::size_t>(before)].tasks;
+        if (!stepOf(job, before).gang
+            && std::any_of(tasks.begin(), tasks.end(), [](const TaskState& task) { return task.wasListed; }))
+            return true;
+    }
+    return false;
+}
+
+/// Whether an earlier holder may have started tasks of the step on a VM that has not reported.
+bool mayHaveUnknownRuns(
+    const JobEntry& job, const OccurrenceState& occurrence, int step, const StartBlocks& blocks)
+{
+    return job.isRecovered && !blocks.isRecoveryComplete && !becameReadySinceTakeover(job, occurrence, step);
+}
+
+/// Whether the task waits for a VM and may be started. \p mayHaveUnknownRuns is that of its step.
+bool isWaiting(const TaskState& task, bool mayHaveUnknownRuns)
+{
+    const bool isKnown = !mayHaveUnknownRuns || (task.wasListed && !task.earlierRun);
+    return !task.done && !task.run && isKnown;
 }
 
 void openDueOccurrences(JobEntry& job, WallTime wallNow)
@@ -89,8 +111,9 @@
             const auto& step = occurrence.steps[static_cast<std::size_t>(s)];
             if (step.doneTasks == static_cast<int>(step.tasks.size()) || !isStepReady(job, occurrence, s))
                 continue;
+            const bool hasUnknownRuns = mayHaveUnknownRuns(job, occurrence, s, blocks);
             const bool hasWaitingTask = std::any_of(step.tasks.begin(), step.tasks.end(),
-                [&](const TaskState& task) { return isWaiting(job, task, blocks); });
+                [&](const TaskState& task) { return isWaiting(task, hasUnknownRuns); });
             if (!hasWaitingTask)
                 continue;
             WaitingStep waiting { .job = &job, .occurrence = number, .step = s };
@@ -160,11 +183,13 @@
     WallTime wallNow, std::size_t maxStarts, FailedNeeds& failed, std::vector<StartAction>& out)
 {
     auto& job = *waiting.job;
-    auto& step = job.occurrences.at(waiting.occurrence).steps[static_cast<std::size_t>(waiting.step)];
+    auto& occurrence = job.occurrences.at(waiting.occurrence);
+    auto& step = occurrence.steps[static_cast<std::size_t>(waiting.step)];
+    const bool hasUnknownRuns = mayHaveUnknownRuns(job, occurrence, waiting.step, blocks);
     const auto waited = wallNow - dueAt(job, waiting.occurrence);
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         auto& task = step.tasks[i];
-        if (!isWaiting(job, task, blocks))
+        if (!isWaiting(task, hasUnknownRuns))
             continue;
         if (out.size() >= maxStarts)
             return;
@@ -209,13 +234,15 @@
     WallTime wallNow, std::vector<StartAction>& out)
 {
     auto& job = *waiting.job;
-    auto& step = job.occurrences.at(waiting.occurrence).steps[static_cast<std::size_t>(waiting.step)];
+    auto& occurrence = job.occurrences.at(waiting.occurrence);
+    auto& step = occurrence.steps[static_cast<std::size_t>(waiting.step)];
+    const bool hasUnknownRuns = mayHaveUnknownRuns(job, occurrence, waiting.step, blocks);
     const auto waited = wallNow - dueAt(job, waiting.occurrence);
     std::uint32_t number = 0;
     std::string checkpoint;
     TaskId id { job.spec.id, waiting.occurrence, waiting.step, 0 };
     for (const auto& task : step.tasks) {
-        if (!isWaiting(job, task, blocks) || blocks.orphanTasks.contains(id))
+        if (!isWaiting(task, hasUnknownRuns) || blocks.orphanTasks.contains(id))
             return;
         ++id.index;
         number = std::max(number, nextRun(state, job, task));
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -174,6 +174,7 @@
         vm.trialTask = report.task;
     placeRun(state, vm, report.task, *task, run);
     state.runEvents.push_back({ vm.entry.id, report.task, report.run, RunEventKind::Adopted });
+    task->wasListed = true;
     confirmRun(*task->run, report, now);
     markJobRunning(job->second);
 }
@@ -187,6 +188,7 @@
         auto& job = state.jobs.find(report.task.job)->second;
         markJobRunning(job);
         task->run->vmBootTime = vm.bootTime;
+        task->wasListed = true;
         clearSuspicion(job, stepOf(job, report.task.step), *task, state.limits, now);
         return confirmRun(*task->run, report, now);
     }
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -408,7 +408,8 @@
 BOOST_AUTO_TEST_CASE(vmsThatJoinAfterATakeoverDoNotDelayRecovery)
 {
     // A VM reports about as long after it is first listed as lists are apart. While VMs joined the pool one
-    // after the other, there was always one that had not reported, and recovered tasks waited for the deadline.
+    // after the other, there was always one that had not reported, and recovered tasks waited for the
+    // deadline.
     state.term = 1;
     state.recoveryDeadline = clock.now() + 10s;
     submit("j1", { makeStep(1) }, true);
@@ -427,6 +428,100 @@
     BOOST_TEST(starts().size() == 1u);
 }
 
+/// A pool after a takeover: v1 has room and reports, v2 is silent.
+struct TakeoverFixture : PoolFixture {
+    TakeoverFixture()
+    {
+        state.term = 1;
+        state.recoveryDeadline = recoveryDeadlineAfter(state.limits, clock.now());
+        applyPlatformVms(state, { "v1", "v2" });
+        addVm("v1", 16'000, "r1", false);
+        addVm("v2", 16'000, "r1", false);
+    }
+
+    /// Applies v1's report of these running tasks and ends; all runs are the first of their tasks.
+    void reportV1(const std::vector<TaskId>& running, std::vector<EndReport> ended)
+    {
+        VmReport out;
+        out.vmClock = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch());
+        out.bootTime = 1;
+        for (const auto& id : running)
+            out.running.push_back({ id, 1, "", 50, 0 });
+        out.ended = std::move(ended);
+        applyReport(state, "v1", out, clock.now(), clock.now());
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(stepThatBecomesReadyAfterATakeoverDoesNotWaitForASilentVm, TakeoverFixture)
+{
+    // Many jobs waited for over ten seconds although all their tasks were on VMs that had reported.
+    constexpr int count = 10;
+    auto second = makeStep(1);
+    second.after = { 0 };
+    std::vector<TaskId> running;
+    std::vector<EndReport> ended;
+    for (int i = 0; i < count; ++i) {
+        const auto job = "j" + std::to_string(i);
+        submit(job, { makeStep(1), second }, true);
+        running.push_back({ job, 0, 0, 0 });
+        ended.push_back({ static_cast<std::uint64_t>(i + 1), running.back(), 1, EndKind::Done, "" });
+    }
+    reportV1(running, {});
+    BOOST_TEST(starts().empty());
+    advance(100ms);
+    reportV1({}, ended);
+    const auto next = starts();
+    BOOST_TEST(next.size() == static_cast<std::size_t>(count));
+    for (const auto& start : next) {
+        BOOST_TEST(start.command.task.step == 1);
+        BOOST_TEST(start.command.run > runNumberBase(1));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(taskThatRanAfterATakeoverIsStartedAgainBesideASilentVm, TakeoverFixture)
+{
+    auto serving = makeStep(1);
+    serving.longRunning = true;
+    submit("j1", { serving }, true);
+    const TaskId id { "j1", 0, 0, 0 };
+    reportV1({ id }, {});
+    advance(100ms);
+    reportV1({}, { { 1, id, 1, EndKind::Stopped, "" } });
+    BOOST_TEST(starts().size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(taskThatASilentVmMayRunIsNotStartedAfterATakeover, TakeoverFixture)
+{
+    // The earlier holder may have known the ends, and have started on v2 what waited for them.
+    auto second = makeStep(1);
+    second.after = { 0 };
+    submit("ended", { makeStep(1), second }, true);
+    submit("failed", { makeStep(1) }, true);
+    submit("waiting", { makeStep(1) }, true);
+    reportV1({},
+        { { 1, { "ended", 0, 0, 0 }, 1, EndKind::Done, "" },
+            { 2, { "failed", 0, 0, 0 }, 1, EndKind::Failed, "" } });
+    BOOST_TEST(starts().empty());
+    advance(std::chrono::floor<milliseconds>(state.recoveryDeadline - clock.now()) - 1ms);
+    BOOST_TEST(starts().empty());
+    advance(1ms);
+    BOOST_TEST(starts().size() == 3u);
+}
+
+BOOST_FIXTURE_TEST_CASE(stepAfterAGangWaitsForASilentVmAfterATakeover, TakeoverFixture)
+{
+    // One end represents all members, and the earlier holder may have known it before the others were listed.
+    auto gang = makeStep(2);
+    gang.gang = true;
+    auto second = makeStep(1);
+    second.after = { 0 };
+    submit("j1", { gang, second }, true);
+    reportV1({ { "j1", 0, 0, 1 } }, {});
+    reportV1({},
+        { { 1, { "j1", 0, 0, 0 }, 1, EndKind::Done, "" }, { 2, { "j1", 0, 0, 1 }, 1, EndKind::Done, "" } });
+    BOOST_TEST(starts().empty());
+}
+
 BOOST_AUTO_TEST_CASE(loadIncludesTasksThatFitOnNoVm)
 {
     addVm("v1", 4000);
