--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -71,6 +71,9 @@
     int provenTrialCrashes = 0; ///< of these, those where a later boot or another VM has responded since
     bool isSuspect = false; ///< may have caused a crash; its runs begin with a trial
     std::optional<EarlierRun> earlierRun; ///< not yet known whether it ended with a crash of its VM
+    /// A VM has listed a run of the task as running to this holder, so no run of an earlier holder is
+    /// unknown.
+    bool wasListed = false;
 };
 
 /// Permission of the advice service to run a step on a VM.
@@ -279,8 +282,8 @@
     /// After a takeover: until then tasks of recovered jobs may run on VMs that have not reported, and VMs
     /// may have leases that an earlier holder has granted.
     TimePoint recoveryDeadline {};
-    /// VMs of the pool according to the platform; the registry may lack some of them for a while after an
-    /// outage. Empty optional: the platform has not responded yet.
+    /// VMs that an earlier holder may have used, according to the platform; the registry may lack some of
+    /// them for a while after an outage. Empty optional: the platform has not responded yet.
     std::optional<std::set<std::string>> platformVms;
     std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
     /// Room for long-running tasks that wait or have to leave their VM. Without it, shorter and smaller tasks
