Follow configurations by the version of their row

The number was compared so that a delayed response can't restore an older configuration. The version of the row shows that too: it comes from the table's single counter, which no writer of a row chooses, so it is compared instead.

odd_entries/configurationAfterOneWithTheLargestNumberIsApplied failed on the unchanged code (the later configuration was not in force after 10 s) and passes now.

--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -97,6 +97,7 @@
     LeaseTiming m_leaseTiming;
     JobDirectory m_directory;
     std::shared_ptr<const FleetConfig> m_config;
+    Version m_configRowVersion = 0; ///< of the row that m_config is from
     /// Rows of the current batch of operators' changes, by key. Only the newest row of a key is decoded.
     std::map<std::string, TableRow> m_newOperatorRows;
     std::map<std::string, VmRegistration> m_vms;
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -206,8 +206,11 @@
         logEvent(LogLevel::Error, "config_unreadable", { { "detail", describe(config.error()) } });
         return;
     }
-    if (m_config && config->version <= m_config->version)
-        return; // a delayed response must not restore an older configuration
+    // A delayed response must not restore an older configuration. The number in the configuration would not
+    // show that: after a row with a number too large, all later ones would count as older.
+    if (m_config && row.version <= m_configRowVersion)
+        return;
+    m_configRowVersion = row.version;
     m_config = std::make_shared<const FleetConfig>(std::move(*config));
     logEvent(LogLevel::Info, "config_applied",
         { { "version", std::to_string(m_config->version) },
--- a/testsuite/fleet_config/odd_entries_test.cpp
+++ b/testsuite/fleet_config/odd_entries_test.cpp
@@ -150,6 +150,16 @@
     BOOST_TEST(processState() == "process runs");
 }
 
+// The process took every later configuration for an older one.
+BOOST_AUTO_TEST_CASE(configurationAfterOneWithTheLargestNumberIsApplied)
+{
+    platform.table().write(
+        "op", "", "config", R"({"version":9223372036854775807,"routes":[],"services":[]})");
+    BOOST_REQUIRE(loop.runUntil([this] { return countStatus("old") == 404; }, 10s));
+    configure({ "new" }, 0);
+    BOOST_TEST(loop.runUntil([this] { return countStatus("new") == 200; }, 10s));
+}
+
 BOOST_AUTO_TEST_CASE(oddWavesAndMachinesDoNotHideOthers)
 {
     const std::vector<std::string> entries { nested(200'000), "1e999", "7",
