Limit the figures of a pool's load

A submission may name 10^9 thousandths of a core, 100,000 tasks and an estimate of 10^12 ms. One such job made the waiting work of its pool a negative number, since the product of the three overflowed; the coordinator moves machines by it. The forecast of arriving work was cast to an integer that can't hold it, which is undefined.

The figures are now computed as floating-point numbers and limited to 10^15, for usual loads with the same results. The ranges of a submission's fields stay: each of them alone may be that large.

pool_state/loadOfTheLargestSubmissionIsLimited failed on the unchanged code (waitingWork -, arrivingCpu, 44779 instead of 500,000 with limited starts) and passes now; scheduler_test: 134 cases pass.

--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -53,6 +53,14 @@
     return out;
 }
 
+/// A figure of a load. Callers choose the numbers that it is computed from, and their product may exceed 64
+/// bits; the limit leaves room for sums over all pools.
+std::int64_t limitedLoad(double value)
+{
+    constexpr double most = 1e15;
+    return static_cast<std::int64_t>(std::min(value, most));
+}
+
 /// Adds the waiting tasks of an occurrence's ready steps to the load.
 void addWaitingTasks(const std::vector<Resources>& rooms, PoolLoad& load, const JobEntry& job,
     const OccurrenceState& occurrence, bool isOverdue)
@@ -77,7 +85,9 @@
             rooms.begin(), rooms.end(), [&](const Resources& room) { return fits(need, room); });
         if (!fitsSomewhere)
             load.unfitCpu += cpu;
-        (isOverdue ? load.overdueWork : load.waitingWork) += cpu * step.estimate.count() / 1000;
+        auto& work = isOverdue ? load.overdueWork : load.waitingWork;
+        const auto added = static_cast<double>(cpu) * static_cast<double>(step.estimate.count()) / 1000;
+        work = limitedLoad(static_cast<double>(work) + added);
     }
 }
 
@@ -104,13 +114,13 @@
     const double earlierRate = work[1] / static_cast<double>(window.count());
     const int jobGrowth = jobs[0] - jobs[1];
     if (jobGrowth <= 0 || rate <= earlierRate)
-        return static_cast<std::int64_t>(rate);
+        return limitedLoad(rate);
     const double standardError = std::sqrt(static_cast<double>(jobs[0] + jobs[1]));
     const double confidence = std::max(0.0, 1 - standardError / (2 * jobGrowth));
     const double horizonWindows
         = static_cast<double>(state.limits.forecastHorizon.count()) / static_cast<double>(window.count());
     const double forecast = rate + (rate - earlierRate) * confidence * horizonWindows;
-    return static_cast<std::int64_t>(std::min(forecast, rate * maxForecastGrowth));
+    return limitedLoad(std::min(forecast, rate * maxForecastGrowth));
 }
 
 /// Machines that run tasks. A machine that has come back has two VMs here until the registration of the
@@ -148,8 +158,9 @@
     const auto batchCpu = load.usedCpu - load.servingCpu;
     const auto growth = batchCpu / 2;
     load.arrivingCpu = std::min(load.arrivingCpu, batchCpu);
-    load.waitingWork
-        = load.waitingCpu > growth ? load.waitingWork * growth / load.waitingCpu : load.waitingWork;
+    if (load.waitingCpu > growth)
+        load.waitingWork = limitedLoad(static_cast<double>(load.waitingWork) * static_cast<double>(growth)
+            / static_cast<double>(load.waitingCpu));
     load.waitingCpu = std::min(load.waitingCpu, growth);
     load.overdueCpu = load.overdueWork = 0;
 }
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -448,6 +448,27 @@
     BOOST_TEST(starts().size() == 1u);
 }
 
+// The product of these numbers exceeds 64 bits; the load was negative or any other number.
+BOOST_AUTO_TEST_CASE(loadOfTheLargestSubmissionIsLimited)
+{
+    constexpr std::int64_t limit = 1'000'000'000'000'000;
+    addVm("v1", 200'000);
+    submit("j0", { makeStep(200) });
+    startAndAccept();
+    auto step = makeStep(100'000, 1'000'000'000);
+    step.estimate = milliseconds(1'000'000'000'000);
+    for (const auto* id : { "j1", "j2" }) {
+        submit(id, { step });
+        recordArrival(state, state.jobs.find(id)->second.spec, clock.now());
+    }
+    auto load = computeLoad(state, clock.now(), wallNow);
+    BOOST_TEST(load.waitingWork == limit);
+    BOOST_TEST(load.arrivingCpu == limit);
+    state.areStartsLimited = true;
+    load = computeLoad(state, clock.now(), wallNow);
+    BOOST_TEST(load.waitingWork == 500'000); // in proportion to the 100,000 of 2 * 10^14 that may start
+}
+
 BOOST_AUTO_TEST_CASE(loadTellsOverdueWorkFromOtherWork)
 {
     addVm("v1", 1000);
