Send no signal to a process that could not be started

Cause: Process kept -1 as the id of a program that posix_spawn could not start; its destructor called kill(-1, SIGKILL), and signal() would have done the same. As root that ends everything.

Change: such a process has ended, with status 127 as in a shell; signals to it are dropped. runCommand() returns 127 at once.

Evidence: harness_test. It was not run on the code before, where the destructor would have ended the machine's processes; the cause is read from the code and from the failure "a fleet process exited before it logged its listening port" in the log of the test at that time.

--- a/testsuite/harness/process.cpp
+++ b/testsuite/harness/process.cpp
@@ -50,6 +50,9 @@
     return child;
 }
 
+/// Exit status of a process that could not be started, as a shell reports it.
+constexpr int couldNotStart = 127;
+
 int exitCodeOf(int status) { return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status); }
 
 } // namespace
@@ -61,6 +64,11 @@
 {
     auto child = spawn(arguments, environment, true);
     CommandResult result;
+    if (child.pid <= 0) {
+        result.exitCode = couldNotStart;
+        close(child.output);
+        return result;
+    }
     char buffer[4096];
     for (auto n = read(child.output, buffer, sizeof(buffer)); n > 0;
          n = read(child.output, buffer, sizeof(buffer)))
@@ -77,6 +85,9 @@
     auto child = spawn(arguments, {}, false, log);
     m_pid = child.pid;
     m_output = child.output;
+    // kill() with -1 would signal every process of the machine.
+    if (m_pid <= 0)
+        m_exitCode = couldNotStart;
 }
 
 Process::~Process()
@@ -118,7 +129,11 @@
     return line.substr(start, line.find(' ', start) - start);
 }
 
-void Process::signal(int number) const { kill(m_pid, number); }
+void Process::signal(int number) const
+{
+    if (!m_exitCode)
+        kill(m_pid, number);
+}
 
 bool Process::hasEnded()
 {
