Read rows of jobs and their progress without trusting their numbers

Here: a progress row whose "occurrences" nests deeply ended the process that took the pool over (copied by value(), a stack overflow), and so the next holder too. One odd entry of a list ("failed", "saved", "crashes", "atRisk") hid all that followed. An occurrence of any number was opened, so that none before it was opened when due; job rows could name 10^9 tasks, a step that depends on a later one, negative or overflowing times; characters that are no digits marked tasks as done.

Cause: get<int>() wraps, value() copies and throws, indexes were not compared with the job. The rows are written by our processes, but any writer of the table can damage them. Ruled out: the followers themselves; decodeJob(), decodeLoad() and decodeTask() already caught exceptions of JSON types (test recordsWithValuesOfAnotherTypeAreReadAsMalformed).

decodeJob() accepts what a submission can have (the limits of platform/codec.cpp) and is checked against the job of its key. decodeProgress() leaves out single malformed entries and applies the others; the holder logs progress_row_unreadable, which was silent before. Jobs with deeply nested rows are logged as before and hide no others.

--- a/src/include/damaskworks/job.h
+++ b/src/include/damaskworks/job.h
@@ -48,6 +48,9 @@
     return a;
 }
 
+/// Most tasks of a job, in all its occurrences.
+inline constexpr std::int64_t maxTasksPerJob = 100'000;
+
 /// One step of a job: a number of equal tasks.
 struct StepSpec {
     int count = 1;
@@ -125,7 +128,8 @@
 /// come after those that they depend on.
 milliseconds criticalPathLength(const std::vector<StepSpec>& steps);
 
-/// Row text of a job, without its spec. decodeJob() returns nothing for malformed text.
+/// Row text of a job, without its spec. decodeJob() returns nothing for malformed text and for a job that no
+/// submission can have, such as one with numbers out of range.
 std::string encodeJob(const JobSpec& job);
 std::optional<JobSpec> decodeJob(std::string_view text);
 
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -293,8 +293,8 @@
 /// clock. A VM that had restarted before the takeover can have the longest.
 TimePoint recoveryDeadlineAfter(const PoolLimits& limits, TimePoint takeover);
 /// Adds a job. \p progress is its durable record, empty if there is none. \p isRecovered: an earlier holder
-/// may have had the job.
-void addJob(PoolState& state, JobSpec spec, std::string_view progress, bool isRecovered);
+/// may have had the job. Returns false if a part of the record is malformed; the job has the rest of it.
+bool addJob(PoolState& state, JobSpec spec, std::string_view progress, bool isRecovered);
 /// Adds the work of a new job to the arrival rate.
 void recordArrival(PoolState& state, const JobSpec& job, TimePoint now);
 /// Cancels a job; its runs are stopped by the next planStops().
--- a/src/libfleet/job_directory.cpp
+++ b/src/libfleet/job_directory.cpp
@@ -50,8 +50,8 @@
 {
     switch (row.key.front()) {
     case 'j': {
-        auto job = decodeJob(row.value);
-        if (!job) {
+        const auto job = decodeJob(row.value);
+        if (!job || job->id != std::string_view(row.key).substr(keyPrefixLength)) {
             logEvent(LogLevel::Error, "job_row_unreadable", { { "key", row.key } });
             return;
         }
--- a/src/libfleet/job_directory_test.cpp
+++ b/src/libfleet/job_directory_test.cpp
@@ -49,6 +49,18 @@
     BOOST_TEST(directory.find("a1") == nullptr);
 }
 
+// The holder ran the job of the row, of which another row may tell as well, and never the one of the key.
+BOOST_AUTO_TEST_CASE(jobRowUnderTheKeyOfAnotherJobIsLeftOut)
+{
+    JobDirectory directory;
+    auto row = jobRow("a1", 3);
+    row.key = rows::jobKey("a2");
+    directory.apply(row);
+    directory.apply(jobRow("a3", 4));
+    BOOST_TEST(directory.find("a2") == nullptr);
+    BOOST_TEST(directory.find("a3") != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(cancellationThatArrivesBeforeItsJobIsApplied)
 {
     JobDirectory directory;
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -163,7 +163,9 @@
     std::string progressText = progress ? std::move(progress.mapped())
         : record.hasStateRow            ? encodeState(record.state)
                                         : "";
-    addJob(m_state, std::move(job), progressText, m_state.term > 0 && record.version < m_acquiredVersion);
+    const bool isRecovered = m_state.term > 0 && record.version < m_acquiredVersion;
+    if (!addJob(m_state, std::move(job), progressText, isRecovered))
+        logEvent(LogLevel::Error, "progress_row_unreadable", { { "pool", m_state.pool }, { "job", id } });
     const auto added = m_state.jobs.find(id);
     if (added == m_state.jobs.end())
         return;
--- a/src/libscheduler/job.cpp
+++ b/src/libscheduler/job.cpp
@@ -1,4 +1,6 @@
 #include <damaskworks/job.h>
+#include <damaskworks/json_input.h>
+#include <damaskworks/row_fields.h>
 
 #include <algorithm>
 #include <charconv>
@@ -9,6 +11,11 @@
 
 using nlohmann::json;
 
+constexpr IntegerRange intRange { std::numeric_limits<int>::min(), std::numeric_limits<int>::max() };
+constexpr IntegerRange resourceRange { 0, 1'000'000'000 };
+constexpr IntegerRange durationRange { 0, 1'000'000'000'000 }; ///< milliseconds
+constexpr IntegerRange wallTimeRange { 0, 100'000'000'000'000 }; ///< milliseconds since 1970
+
 /// Adds a member unless it has its default value. Every node reads the row of every job, so rows are kept
 /// short.
 template <typename T>
@@ -42,27 +49,34 @@
     return out;
 }
 
-StepSpec stepFromJson(const json& value)
+/// Reads the step with \p index of a job; it may only depend on earlier steps.
+std::optional<StepSpec> stepFromJson(const json& value, std::size_t index)
 {
+    RowFields fields(value);
     StepSpec step;
-    step.count = value.value("count", 1);
-    step.need = { value.value("cpu", std::int64_t(0)), value.value("memory", std::int64_t(0)),
-        value.value("gpu", std::int64_t(0)) };
-    step.estimate = milliseconds(value.value("estimate", std::int64_t(0)));
-    step.after = value.value("after", std::vector<int>());
-    step.checkpoints = value.value("checkpoints", false);
-    step.gang = value.value("gang", false);
-    step.sameRack = value.value("sameRack", false);
-    step.speculative = value.value("speculative", false);
-    step.longRunning = value.value("longRunning", false);
-    step.filler = value.value("filler", false);
-    step.requiredLabel = value.value("label", "");
-    step.preferredRack = value.value("rack", "");
-    step.image = value.value("image", "");
-    step.maxPerVm = value.value("maxPerVm", 0);
-    step.latencyTarget = milliseconds(value.value("latencyTarget", std::int64_t(0)));
-    step.maxUnavailable = value.value("maxUnavailable", 0);
-    return step;
+    step.count = static_cast<int>(fields.integer("count", { 1, maxTasksPerJob }, 1));
+    step.need = { fields.integer("cpu", resourceRange, 0), fields.integer("memory", resourceRange, 0),
+        fields.integer("gpu", resourceRange, 0) };
+    step.estimate = milliseconds(fields.integer("estimate", durationRange, 0));
+    for (const auto& entry : fields.array("after", true)) {
+        const auto earlier = integerIn(entry, { 0, static_cast<std::int64_t>(index) - 1 });
+        if (!earlier)
+            return std::nullopt;
+        step.after.push_back(static_cast<int>(*earlier));
+    }
+    step.checkpoints = fields.flag("checkpoints", false);
+    step.gang = fields.flag("gang", false);
+    step.sameRack = fields.flag("sameRack", false);
+    step.speculative = fields.flag("speculative", false);
+    step.longRunning = fields.flag("longRunning", false);
+    step.filler = fields.flag("filler", false);
+    step.requiredLabel = fields.text("label", "");
+    step.preferredRack = fields.text("rack", "");
+    step.image = fields.text("image", "");
+    step.maxPerVm = static_cast<int>(fields.integer("maxPerVm", { 0, maxTasksPerJob }, 0));
+    step.latencyTarget = milliseconds(fields.integer("latencyTarget", durationRange, 0));
+    step.maxUnavailable = static_cast<int>(fields.integer("maxUnavailable", { 0, maxTasksPerJob }, 0));
+    return fields.isValid() ? std::optional(step) : std::nullopt;
 }
 
 } // namespace
@@ -126,29 +140,29 @@
 
 std::optional<JobSpec> decodeJob(std::string_view text)
 {
-    const auto value = json::parse(text, nullptr, false);
-    if (!value.is_object())
-        return std::nullopt;
-    try {
-        JobSpec job;
-        job.id = value.at("id").get<std::string>();
-        job.queue = value.at("queue").get<std::string>();
-        job.pool = value.at("pool").get<std::string>();
-        job.specBytes = value.value("specBytes", std::size_t(0));
-        for (const auto& step : value.at("steps")) {
-            job.steps.push_back(stepFromJson(step));
-            if (job.steps.back().count < 1)
-                return std::nullopt;
-        }
-        job.maxAttempts = value.at("attempts").get<int>();
-        job.occurrences = value.value("occurrences", 0);
-        job.firstDue = WallTime(value.value("firstDue", std::int64_t(0)));
-        job.period = milliseconds(value.value("period", std::int64_t(0)));
-        job.acceptedAt = WallTime(value.at("acceptedAt").get<std::int64_t>());
-        return job;
-    } catch (const json::exception&) {
-        return std::nullopt; // malformed row; the caller logs it
+    const auto value = parseJson(text);
+    RowFields fields(value);
+    JobSpec job;
+    job.id = fields.text("id");
+    job.queue = fields.text("queue");
+    job.pool = fields.text("pool");
+    job.specBytes = static_cast<std::size_t>(fields.integer("specBytes", anyCount, 0));
+    job.maxAttempts = static_cast<int>(fields.integer("attempts", intRange));
+    job.occurrences = static_cast<int>(fields.integer("occurrences", { 0, maxTasksPerJob }, 0));
+    job.firstDue = WallTime(fields.integer("firstDue", wallTimeRange, 0));
+    job.period = milliseconds(fields.integer("period", durationRange, 0));
+    job.acceptedAt = WallTime(fields.integer("acceptedAt", wallTimeRange));
+    std::int64_t tasks = 0;
+    for (const auto& entry : fields.array("steps")) {
+        auto step = stepFromJson(entry, job.steps.size());
+        if (!step)
+            return std::nullopt;
+        tasks += step->count;
+        job.steps.push_back(std::move(*step));
     }
+    if (!fields.isValid() || tasks * std::max(job.occurrences, 1) > maxTasksPerJob)
+        return std::nullopt;
+    return job;
 }
 
 } // namespace damask::fleet
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -35,10 +35,10 @@
     return it->second;
 }
 
-void addJob(PoolState& state, JobSpec spec, std::string_view progress, bool isRecovered)
+bool addJob(PoolState& state, JobSpec spec, std::string_view progress, bool isRecovered)
 {
     if (state.jobs.contains(spec.id))
-        return;
+        return true;
     JobEntry job;
     job.criticalPath = criticalPathLength(spec.steps);
     job.spec = std::move(spec);
@@ -46,15 +46,15 @@
     job.hasRecord = !progress.empty();
     // Without a record no earlier holder has started any task.
     job.isRecovered = isRecovered && job.hasRecord;
-    if (!progress.empty())
-        decodeProgress(job, progress);
+    const bool isReadable = progress.empty() || decodeProgress(job, progress);
     if (isFinal(job.state))
-        return;
+        return isReadable;
     if (job.spec.occurrences == 0)
         openOccurrence(job, 0);
     const auto id = job.spec.id;
     auto& entry = state.jobs.emplace(id, std::move(job)).first->second;
     completeIfDone(state, entry);
+    return isReadable;
 }
 
 void recordArrival(PoolState& state, const JobSpec& job, TimePoint now)
--- a/src/libscheduler/progress.cpp
+++ b/src/libscheduler/progress.cpp
@@ -1,7 +1,10 @@
+#include <damaskworks/json_input.h>
 #include <damaskworks/pool_state.h>
+#include <damaskworks/row_fields.h>
 
 #include "progress_pvt.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace damask::fleet {
@@ -10,6 +13,8 @@
 using nlohmann::json;
 
 constexpr int bitsPerHexDigit = 4;
+constexpr IntegerRange runNumberRange { 0, std::numeric_limits<std::uint32_t>::max() };
+constexpr IntegerRange crashCountRange { 0, 1'000'000 };
 
 /// Hexadecimal bitmap of the tasks that are done, four tasks per digit, lowest bit first.
 std::string encodeDoneBits(const StepState& step)
@@ -26,16 +31,24 @@
     return out;
 }
 
-void decodeDoneBits(StepState& step, const std::string& digits)
+/// Returns false if a character is not a hexadecimal digit; the others are applied.
+bool decodeDoneBits(StepState& step, std::string_view digits)
 {
+    bool isValid = true;
     for (std::size_t i = 0; i < step.tasks.size() && i / bitsPerHexDigit < digits.size(); ++i) {
         const char digit = digits[i / bitsPerHexDigit];
-        const int value = digit <= '9' ? digit - '0' : digit - 'a' + 10;
+        const bool isDecimal = digit >= '0' && digit <= '9';
+        if (!isDecimal && !(digit >= 'a' && digit <= 'f')) {
+            isValid = false;
+            continue;
+        }
+        const int value = isDecimal ? digit - '0' : digit - 'a' + 10;
         if (!(value & (1 << (i % bitsPerHexDigit))) || step.tasks[i].done)
             continue;
         step.tasks[i].done = true;
         ++step.doneTasks;
     }
+    return isValid;
 }
 
 /// The run with which the task may crash its VM, if a later holder has to know of it.
@@ -93,42 +106,101 @@
     return valueOf(jobStateNames, field->get<std::string>()).value_or(JobState::Queued);
 }
 
-TaskState* taskAt(OccurrenceState& occurrence, const json& entry)
+/// The task that the first two elements of an entry name; nullptr if there is none or the entry has fewer
+/// than \p size elements.
+TaskState* taskAt(OccurrenceState& occurrence, const json& entry, std::size_t size)
 {
-    const auto step = entry.at(0).get<std::size_t>();
-    const auto index = entry.at(1).get<std::size_t>();
-    if (step >= occurrence.steps.size() || index >= occurrence.steps[step].tasks.size())
+    if (!entry.is_array() || entry.size() < size)
+        return nullptr;
+    const auto step = integerIn(entry[0], anyCount);
+    const auto index = integerIn(entry[1], anyCount);
+    if (!step || !index || static_cast<std::size_t>(*step) >= occurrence.steps.size())
         return nullptr;
-    return &occurrence.steps[step].tasks[index];
+    auto& tasks = occurrence.steps[static_cast<std::size_t>(*step)].tasks;
+    return static_cast<std::size_t>(*index) < tasks.size() ? &tasks[static_cast<std::size_t>(*index)]
+                                                           : nullptr;
 }
 
-void decodeOccurrence(OccurrenceState& occurrence, const json& value)
+bool decodeFailedRuns(TaskState& task, const json& entry)
 {
-    const auto& done = value.at("done");
-    for (std::size_t s = 0; s < occurrence.steps.size() && s < done.size(); ++s)
-        decodeDoneBits(occurrence.steps[s], done[s].get<std::string>());
-    for (const auto& entry : value.value("failed", json::array())) {
-        if (auto* task = taskAt(occurrence, entry))
-            task->failedRuns = entry.at(2).get<std::set<std::uint32_t>>();
-    }
-    for (const auto& entry : value.value("saved", json::array())) {
-        if (auto* task = taskAt(occurrence, entry))
-            task->checkpoint = entry.at(2).get<std::string>();
+    std::set<std::uint32_t> runs;
+    if (!entry[2].is_array())
+        return false;
+    for (const auto& element : entry[2]) {
+        const auto run = integerIn(element, runNumberRange);
+        if (!run)
+            return false;
+        runs.insert(static_cast<std::uint32_t>(*run));
     }
-    for (const auto& entry : value.value("crashes", json::array())) {
-        auto* task = taskAt(occurrence, entry);
-        if (!task)
-            continue;
-        task->crashes = entry.at(2).get<int>();
-        task->trialCrashes = entry.at(3).get<int>();
-        task->isSuspect = entry.at(4).get<bool>();
-        task->provenTrialCrashes = entry.at(5).get<int>();
+    task.failedRuns = std::move(runs);
+    return true;
+}
+
+bool decodeCheckpoint(TaskState& task, const json& entry)
+{
+    if (!entry[2].is_string())
+        return false;
+    task.checkpoint = entry[2].get<std::string>();
+    return true;
+}
+
+bool decodeCrashes(TaskState& task, const json& entry)
+{
+    const auto crashes = integerIn(entry[2], crashCountRange);
+    const auto trialCrashes = integerIn(entry[3], crashCountRange);
+    const auto provenTrialCrashes = integerIn(entry[5], crashCountRange);
+    if (!crashes || !trialCrashes || !provenTrialCrashes || !entry[4].is_boolean())
+        return false;
+    task.crashes = static_cast<int>(*crashes);
+    task.trialCrashes = static_cast<int>(*trialCrashes);
+    task.isSuspect = entry[4].get<bool>();
+    task.provenTrialCrashes = static_cast<int>(*provenTrialCrashes);
+    return true;
+}
+
+bool decodeRunAtRisk(TaskState& task, const json& entry)
+{
+    const auto number = integerIn(entry[2], runNumberRange);
+    const auto vmBootTime = integerIn(entry[4], anyInteger);
+    if (!number || !entry[3].is_string() || !vmBootTime || !entry[5].is_boolean())
+        return false;
+    task.earlierRun = { entry[3].get<std::string>(), *vmBootTime, static_cast<std::uint32_t>(*number),
+        entry[5].get<bool>() };
+    return true;
+}
+
+/// A list of entries about single tasks, each with the numbers of its step and task in front.
+struct TaskListDecoder {
+    const char* name;
+    std::size_t entrySize;
+    bool (*decode)(TaskState&, const json&);
+};
+
+constexpr TaskListDecoder taskLists[] = {
+    { "failed", 3, decodeFailedRuns },
+    { "saved", 3, decodeCheckpoint },
+    { "crashes", 6, decodeCrashes },
+    { "atRisk", 6, decodeRunAtRisk },
+};
+
+/// Returns false if a part of the record is malformed; the other parts are applied.
+bool decodeOccurrence(OccurrenceState& occurrence, const json& value)
+{
+    RowFields fields(value);
+    const auto& done = fields.array("done");
+    for (std::size_t s = 0; s < occurrence.steps.size() && s < done.size(); ++s) {
+        if (!done[s].is_string()
+            || !decodeDoneBits(occurrence.steps[s], done[s].get_ref<const std::string&>()))
+            fields.markInvalid();
     }
-    for (const auto& entry : value.value("atRisk", json::array())) {
-        if (auto* task = taskAt(occurrence, entry))
-            task->earlierRun = { entry.at(3).get<std::string>(), entry.at(4).get<std::int64_t>(),
-                entry.at(2).get<std::uint32_t>(), entry.at(5).get<bool>() };
+    for (const auto& list : taskLists) {
+        for (const auto& entry : fields.array(list.name, true)) {
+            auto* task = taskAt(occurrence, entry, list.entrySize);
+            if (!task || !list.decode(*task, entry))
+                fields.markInvalid();
+        }
     }
+    return fields.isValid();
 }
 
 } // namespace
@@ -150,24 +222,25 @@
 
 JobState decodeState(std::string_view record)
 {
-    const auto value = json::parse(record, nullptr, false);
+    const auto value = parseJson(record);
     return value.is_object() ? stateField(value) : JobState::Queued;
 }
 
 bool decodeProgress(JobEntry& job, std::string_view progress)
 {
-    const auto value = json::parse(progress, nullptr, false);
+    const auto value = parseJson(progress);
     if (!value.is_object())
         return false;
     job.state = stateField(value);
-    try {
-        for (const auto& entry : value.value("occurrences", json::array()))
-            decodeOccurrence(openOccurrence(job, entry.at("number").get<int>()), entry);
-        job.hasEarlierRuns = true;
-    } catch (const json::exception&) {
-        return false;
+    job.hasEarlierRuns = true;
+    RowFields fields(value);
+    for (const auto& entry : fields.array("occurrences", true)) {
+        const auto number
+            = RowFields(entry).integer("number", { 0, std::max(job.spec.occurrences, 1) - 1 }, -1);
+        if (number < 0 || !decodeOccurrence(openOccurrence(job, static_cast<int>(number)), entry))
+            fields.markInvalid();
     }
-    return true;
+    return fields.isValid();
 }
 
 } // namespace damask::fleet
--- a/src/libscheduler/progress_pvt.h
+++ b/src/libscheduler/progress_pvt.h
@@ -6,7 +6,8 @@
 
 namespace damask::fleet {
 
-/// Applies a durable record to the job. Returns false if it is malformed; what precedes the error is applied.
+/// Applies a durable record to the job. Returns false if a part of it is malformed; the other parts are
+/// applied.
 bool decodeProgress(JobEntry& job, std::string_view progress);
 /// The occurrence \p number, created if it does not exist yet.
 OccurrenceState& openOccurrence(JobEntry& job, int number);
