Keep the last readable load, machine task and wave when a row is odd

Every node reads these rows, and the coordinator plans from them. Unreadable loads were not logged.

Rows are read with types and ranges; one that is unreadable, or whose key doesn't fit, is logged and leaves the last readable one in force until a good row follows or it is deleted. Demands of machines are bounded before the conversion.

--- a/src/libfleet/fleet_rows.cpp
+++ b/src/libfleet/fleet_rows.cpp
@@ -1,5 +1,7 @@
+#include <damaskworks/json_input.h>
 #include <damaskworks/log.h>
 #include <damaskworks/machine_coordinator.h>
+#include <damaskworks/row_fields.h>
 
 #include "fleet_rows_pvt.h"
 
@@ -10,6 +12,12 @@
 
 using nlohmann::json;
 
+namespace {
+
+constexpr IntegerRange wallTimeRange { 0, 100'000'000'000'000 }; ///< milliseconds since 1970
+
+} // namespace
+
 namespace rows {
 
 std::string machineKey(std::string_view machine) { return std::string(machinePrefix) + std::string(machine); }
@@ -26,15 +34,27 @@
 
 std::optional<WaveRecord> decodeWave(std::string_view text)
 {
-    const auto value = json::parse(text, nullptr, false);
-    if (!value.is_object())
-        return std::nullopt;
-    try {
-        return WaveRecord { WallTime(value.at("begunAt").get<std::int64_t>()),
-            value.at("done").get<std::set<std::string>>() };
-    } catch (const json::exception&) {
-        return std::nullopt;
+    const auto value = parseJson(text);
+    RowFields fields(value);
+    WaveRecord wave { WallTime(fields.integer("begunAt", wallTimeRange)), {} };
+    for (const auto& machine : fields.array("done")) {
+        if (!machine.is_string())
+            return std::nullopt;
+        wave.done.insert(machine.get<std::string>());
     }
+    return fields.isValid() ? std::optional(wave) : std::nullopt;
+}
+
+std::optional<std::int64_t> waveNumber(std::string_view digits)
+{
+    std::int64_t wave = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), wave);
+    return error == std::errc() && end == digits.data() + digits.size() ? std::optional(wave) : std::nullopt;
+}
+
+void logUnreadable(std::string_view event, const TableRow& row)
+{
+    logEvent(LogLevel::Error, event, { { "part", row.part }, { "key", row.key } });
 }
 
 } // namespace
@@ -62,15 +82,21 @@
         return;
     const auto pool = row.part.substr(poolPart.size());
     if (row.key == loadKey) {
-        if (auto load = decodeLoad(row.value); load && !row.deleted)
+        if (row.deleted)
+            return;
+        if (auto load = decodeLoad(row.value))
             m_loads[pool] = std::move(*load);
+        else
+            logUnreadable("load_row_unreadable", row);
         return;
     }
     if (row.key.starts_with(machinePrefix)) {
         const auto machine = row.key.substr(machinePrefix.size());
+        const auto task = row.deleted ? std::nullopt : decodeTask(row.value);
+        if (!row.deleted && (!task || task->machine != machine))
+            return logUnreadable("machine_task_row_unreadable", row);
         m_tasks.erase(machine);
         m_evacuations.erase(machine);
-        const auto task = row.deleted ? std::nullopt : decodeTask(row.value);
         if (!task)
             return;
         m_tasks.emplace(machine, *task);
@@ -78,13 +104,12 @@
         return;
     }
     if (row.key.starts_with(wavePrefix)) {
-        std::int64_t wave = 0;
-        const auto digits = std::string_view(row.key).substr(wavePrefix.size());
-        std::from_chars(digits.data(), digits.data() + digits.size(), wave);
-        if (auto record = decodeWave(row.value))
-            m_waves[wave] = std::move(*record);
+        const auto wave = waveNumber(std::string_view(row.key).substr(wavePrefix.size()));
+        auto record = decodeWave(row.value);
+        if (wave && record)
+            m_waves[*wave] = std::move(*record);
         else
-            logEvent(LogLevel::Error, "wave_row_unreadable", { { "key", row.key } });
+            logUnreadable("wave_row_unreadable", row);
     }
 }
 
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -6,6 +6,9 @@
 namespace damask::fleet {
 namespace {
 
+/// Bound of a pool's demand, so that sums of demands fit into an int.
+constexpr double maxMachines = 1e6;
+
 /// Machines that a pool has and needs.
 struct PoolDemand {
     std::string name;
@@ -67,6 +70,12 @@
     return machines == 0 ? 0 : cpu / machines;
 }
 
+/// Number of machines of the given size that have at least \p cpu together.
+int machinesFor(double cpu, double cpuPerMachine)
+{
+    return static_cast<int>(std::ceil(std::min(cpu / cpuPerMachine, maxMachines)));
+}
+
 PoolDemand computeDemand(
     const FleetState& state, const std::string& pool, const FleetLimits& limits, TimePoint now)
 {
@@ -107,16 +116,15 @@
     };
     std::stable_sort(demand.removable.begin(), demand.removable.end(),
         [&](const Machine* a, const Machine* b) { return runCount(a) < runCount(b); });
-    const int machinesForCpu = static_cast<int>(std::ceil(targetCpu(load->second, limits) / cpuPerMachine));
+    const int machinesForCpu = machinesFor(targetCpu(load->second, limits), cpuPerMachine);
     // A large task may fit on no single machine although the total free CPU is enough.
-    const int emptyMachines
-        = static_cast<int>(std::ceil(static_cast<double>(load->second.unfitCpu) / cpuPerMachine));
+    const int emptyMachines = machinesFor(static_cast<double>(load->second.unfitCpu), cpuPerMachine);
     demand.requiredMachines
         = std::max({ machinesForCpu, mustStayCount + emptyMachines, load->second.minMachines })
         + limits.minIdleMachines;
     const double overdueCpu = static_cast<double>(load->second.overdueUsedCpu)
         + backlogCpu(load->second.overdueCpu, load->second.overdueWork, limits);
-    demand.machinesForOverdueWork = static_cast<int>(std::ceil(overdueCpu / cpuPerMachine));
+    demand.machinesForOverdueWork = machinesFor(overdueCpu, cpuPerMachine);
     return demand;
 }
 
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -1,4 +1,6 @@
 #include <damaskworks/fleet_plan.h>
+#include <damaskworks/json_input.h>
+#include <damaskworks/row_fields.h>
 
 #include <algorithm>
 #include <cmath>
@@ -9,6 +11,10 @@
 
 using nlohmann::json;
 
+/// Thousandths of a core, or core-milliseconds, of a pool. Sums of a few of them fit into 64 bits.
+constexpr IntegerRange loadRange { 0, 1'000'000'000'000'000'000 };
+constexpr IntegerRange countRange { 0, 1'000'000 };
+
 bool isStandby(const FleetState& state, const std::string& pool)
 {
     const auto found = state.config.pools.find(pool);
@@ -124,32 +130,41 @@
 
 std::optional<PoolLoad> decodeLoad(std::string_view text)
 {
-    const auto value = json::parse(text, nullptr, false);
-    if (!value.is_object())
-        return std::nullopt;
-    try {
-        PoolLoad load;
-        load.waitingCpu = value.at("waitingCpu").get<std::int64_t>();
-        load.waitingWork = value.at("waitingWork").get<std::int64_t>();
-        // Rows of earlier builds lack these three.
-        load.overdueUsedCpu = value.value("overdueUsedCpu", std::int64_t(0));
-        load.overdueCpu = value.value("overdueCpu", std::int64_t(0));
-        load.overdueWork = value.value("overdueWork", std::int64_t(0));
-        load.usedCpu = value.at("usedCpu").get<std::int64_t>();
-        load.arrivingCpu = value.at("arrivingCpu").get<std::int64_t>();
-        load.servingCpu = value.at("servingCpu").get<std::int64_t>();
-        load.waitingServingCpu = value.at("waitingServingCpu").get<std::int64_t>();
-        load.workingMachines = value.at("workingMachines").get<int>();
-        load.unfitCpu = value.at("unfitCpu").get<std::int64_t>();
-        load.minMachines = value.at("minMachines").get<int>();
-        load.capacityCpu = value.at("capacityCpu").get<std::int64_t>();
-        load.runs = value.at("runs").get<std::map<std::string, int>>();
-        load.serving = value.at("serving").get<std::set<std::string>>();
-        load.empty = value.at("empty").get<std::map<std::string, std::string>>();
-        return load;
-    } catch (const json::exception&) {
-        return std::nullopt;
+    const auto value = parseJson(text);
+    RowFields fields(value);
+    const auto readCpu = [&fields](const char* name) { return fields.integer(name, loadRange); };
+    PoolLoad load;
+    load.waitingCpu = readCpu("waitingCpu");
+    load.waitingWork = readCpu("waitingWork");
+    // Rows of earlier builds lack these three.
+    load.overdueUsedCpu = fields.integer("overdueUsedCpu", loadRange, 0);
+    load.overdueCpu = fields.integer("overdueCpu", loadRange, 0);
+    load.overdueWork = fields.integer("overdueWork", loadRange, 0);
+    load.usedCpu = readCpu("usedCpu");
+    load.arrivingCpu = readCpu("arrivingCpu");
+    load.servingCpu = readCpu("servingCpu");
+    load.waitingServingCpu = readCpu("waitingServingCpu");
+    load.workingMachines = static_cast<int>(fields.integer("workingMachines", countRange));
+    load.unfitCpu = readCpu("unfitCpu");
+    load.minMachines = static_cast<int>(fields.integer("minMachines", countRange));
+    load.capacityCpu = readCpu("capacityCpu");
+    for (const auto& [machine, runs] : fields.object("runs").items()) {
+        const auto count = integerIn(runs, countRange);
+        if (!count)
+            return std::nullopt;
+        load.runs.emplace(machine, static_cast<int>(*count));
+    }
+    for (const auto& machine : fields.array("serving")) {
+        if (!machine.is_string())
+            return std::nullopt;
+        load.serving.insert(machine.get<std::string>());
     }
+    for (const auto& [machine, task] : fields.object("empty").items()) {
+        if (!task.is_string())
+            return std::nullopt;
+        load.empty.emplace(machine, task.get<std::string>());
+    }
+    return fields.isValid() ? std::optional(load) : std::nullopt;
 }
 
 std::string encodeTask(const MachineTask& task)
@@ -162,19 +177,20 @@
 
 std::optional<MachineTask> decodeTask(std::string_view text)
 {
-    const auto value = json::parse(text, nullptr, false);
-    if (!value.is_object())
+    const auto value = parseJson(text);
+    RowFields fields(value);
+    const auto action = valueOf(machineActionNames, fields.text("action"));
+    const auto state = valueOf(machineTaskStateNames, fields.text("state"));
+    MachineTask task { .machine = fields.text("machine", ""),
+        .wave = fields.integer("wave", anyInteger, 0),
+        .toPool = fields.text("toPool", ""),
+        .oldVm = fields.text("oldVm", ""),
+        .id = fields.text("id", "") };
+    if (!fields.isValid() || !action || !state)
         return std::nullopt;
-    try {
-        const auto action = valueOf(machineActionNames, value.value("action", ""));
-        const auto state = valueOf(machineTaskStateNames, value.value("state", ""));
-        if (!action || !state)
-            return std::nullopt;
-        return MachineTask { value.value("machine", ""), *action, value.value("wave", std::int64_t { 0 }),
-            value.value("toPool", ""), value.value("oldVm", ""), *state, value.value("id", "") };
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
+    task.action = *action;
+    task.state = *state;
+    return task;
 }
 
 std::vector<MachineTask> planMaintenance(const FleetState& state, const FleetLimits& limits, TimePoint now)
--- a/src/libscheduler/stored_rows_test.cpp
+++ b/src/libscheduler/stored_rows_test.cpp
@@ -2,6 +2,8 @@
 #include "pool_fixture_test.h"
 #include "progress_pvt.h"
 
+#include <damaskworks/fleet_plan.h>
+
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -60,6 +62,12 @@
     const auto job = encodeJob(makeScheduledJob());
     for (const auto* member : { "/steps", "/steps/0/after", "/id", "/other" })
         BOOST_TEST(!decodeJob(with(job, member, nested(deep))), member);
+    const auto load = encodeLoad(PoolLoad {});
+    for (const auto* member : { "/runs", "/serving", "/empty/m1", "/other" })
+        BOOST_TEST(!decodeLoad(with(load, member, nested(deep))), member);
+    const auto task = encodeTask(MachineTask { .machine = "m1" });
+    for (const auto* member : { "/machine", "/other" })
+        BOOST_TEST(!decodeTask(with(task, member, nested(deep))), member);
     BOOST_TEST((decodeState("{\"state\":" + nested(deep) + "}") == JobState::Queued));
 }
 
@@ -102,8 +110,7 @@
         BOOST_TEST(!decodeJob(with(valid, member, text)), member << " " << text);
 }
 
-// The holder took the number as one of the job's occurrences, which then lacked tasks that nothing had to
-// run.
+// The holder opened the occurrence, and none before it was opened any more when it fell due.
 BOOST_FIXTURE_TEST_CASE(progressOfAnOccurrenceThatTheJobLacksIsLeftOut, PoolFixture)
 {
     for (const auto* number : { "-1", "3", "2147483647", "4294967296", "1e300", "\"0\"" }) {
@@ -172,4 +179,50 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(loadAndTaskRowsWithNumbersOutOfRangeAreUnreadable)
+{
+    PoolLoad load;
+    load.runs["m1"] = 2;
+    const auto valid = encodeLoad(load);
+    BOOST_REQUIRE((decodeLoad(valid) == load));
+    const std::vector<std::pair<std::string, std::string>> odd {
+        { "/waitingCpu", "-1" },
+        { "/waitingWork", "9223372036854775807" },
+        { "/overdueCpu", "18446744073709551615" },
+        { "/usedCpu", "1e300" },
+        { "/capacityCpu", "\"1\"" },
+        { "/workingMachines", "-1" },
+        { "/workingMachines", "4294967297" },
+        { "/minMachines", "2147483647" },
+        { "/runs/m1", "-3" },
+        { "/runs/m1", "4294967297" },
+        { "/serving", "[7]" },
+        { "/empty", "{\"m1\":7}" },
+    };
+    for (const auto& [member, text] : odd)
+        BOOST_TEST(!decodeLoad(with(valid, member, text)), member << " " << text);
+    const auto task = encodeTask(MachineTask { .machine = "m1" });
+    BOOST_REQUIRE(decodeTask(task));
+    BOOST_TEST(!decodeTask(with(task, "/wave", "1e300")));
+    BOOST_TEST(!decodeTask(with(task, "/wave", "18446744073709551615")));
+}
+
+// A demand above the range of int, from a pool with a large backlog of small machines, was undefined.
+BOOST_AUTO_TEST_CASE(hugeLoadMovesTheMachinesThatThereAre)
+{
+    ManualClock clock;
+    FleetState state;
+    state.config.pools = { { "a", { "a", false, false } }, { "standby", { "standby", true, false } } };
+    state.machines = { { "a1", { "a1", "a", MachineState::Up, "v1" } },
+        { "s1", { "s1", "standby", MachineState::Up, "" } } };
+    auto& load = state.loads["a"];
+    load.waitingCpu = load.waitingWork = load.unfitCpu = load.overdueCpu = load.overdueWork
+        = 1'000'000'000'000'000'000;
+    load.capacityCpu = 1;
+    load.workingMachines = 1;
+    const auto moves = planMoves(state, FleetLimits {}, clock.now());
+    BOOST_REQUIRE(moves.size() == 1u);
+    BOOST_TEST(moves[0].machine == "s1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
