Give a pool a holder again after its lease row became unreadable

What callers would see: a pool whose lease row another writer has damaged had no holder from then on, so its jobs waited for ever. The holder loses its lease at the next renewal, since the version has changed. The others left an unreadable row out, with its version, so that each attempt to acquire the lease expected an older version and was refused. A term out of range was read as any number: run numbers have 32 bits, and + 1 is the term of a first holder.

An unreadable row now counts as the lease of an unknown holder: it can be acquired once it has expired, because its writer or the last holder may still act. The term goes on from the last readable row; without one, from the version of the row, which every term has increased (bounded to half of the highest term).

Before, on: fleet_test, poolWithAnUnreadableLeaseRowGetsAHolderOnceItsLeaseHasExpired: no holder within 5 s; leaseRowsWithNumbersOutOfRangeAreUnreadable 5 errors. Now fleet_test passes. Not covered: a lease row that was deleted.

--- a/src/include/damaskworks/pool_lease.h
+++ b/src/include/damaskworks/pool_lease.h
@@ -5,6 +5,7 @@
 #include <damaskworks/clock.h>
 #include <damaskworks/shared_table.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
 };
 
 inline constexpr std::string_view leaseKey = "lease";
+/// Highest term of a readable row. Run numbers, see runNumberBase(), fit into 32 bits up to it.
+inline constexpr std::int64_t maxTerm = 4'000'000;
 
 /// Timing of leases.
 struct LeaseTiming {
@@ -33,6 +36,7 @@
     std::chrono::milliseconds safetyMargin { 300 };
 };
 
+/// Row text of a lease; decodeLease() returns nothing for malformed text and numbers out of range.
 std::string encodeLease(const LeaseRow& lease);
 std::optional<LeaseRow> decodeLease(std::string_view text);
 
--- a/src/libfleet/pool_election.cpp
+++ b/src/libfleet/pool_election.cpp
@@ -13,6 +13,17 @@
 constexpr milliseconds checkInterval { 200 };
 constexpr milliseconds acquireTimeout { 900 };
 constexpr std::string_view poolPartPrefix = "pool/";
+/// Holder of a lease whose row is unreadable; no node has this name.
+constexpr std::string_view unknownHolder = "?";
+
+/// Stands for the content of an unreadable row, so that the pool gets a holder again once the lease that the
+/// row may have granted has expired. Without an earlier row the term is taken from the version, which every
+/// term has increased.
+LeaseRow replacementFor(const ObservedLease& last, Version version)
+{
+    const auto term = last.version > 0 ? last.row.term : std::min<Version>(version, maxTerm / 2);
+    return { std::string(unknownHolder), "", term, last.row.renewals };
+}
 
 } // namespace
 
@@ -43,14 +54,14 @@
 {
     if (row.key != leaseKey || !row.part.starts_with(poolPartPrefix))
         return;
+    auto& observed = m_leases[row.part.substr(poolPartPrefix.size())];
+    if (row.version <= observed.version)
+        return;
     auto lease = decodeLease(row.value);
     if (!lease) {
         logEvent(LogLevel::Error, "lease_row_unreadable", { { "part", row.part } });
-        return;
+        lease = replacementFor(observed, row.version);
     }
-    auto& observed = m_leases[row.part.substr(poolPartPrefix.size())];
-    if (row.version <= observed.version)
-        return;
     observed = { std::move(*lease), row.version, m_clock.now() };
 }
 
--- a/src/libfleet/pool_election_test.cpp
+++ b/src/libfleet/pool_election_test.cpp
@@ -75,6 +75,48 @@
         BOOST_TEST(node.heldPools <= 2u);
 }
 
+// No node knew the version of such a row, so that none could replace it, and the pool had no holder from then
+// on.
+BOOST_AUTO_TEST_CASE(poolWithAnUnreadableLeaseRowGetsAHolderOnceItsLeaseHasExpired)
+{
+    const std::string part = rows::poolPart("a");
+    for (const std::string& text :
+        { std::string("{\"node\":7}"), std::string(200'000, '[') + std::string(200'000, ']'),
+            std::string(
+                "{\"node\":\"n9\",\"session\":\"s\",\"term\":18446744073709551615,\"renewals\":1}") }) {
+        for (const bool knowsEarlierRow : { true, false }) {
+            Loop loop;
+            ManualClock clock;
+            FakeTable table(loop.base());
+            std::optional<AcquiredLease> acquired;
+            PoolElection election(loop.base(), table, clock, "n1", "n1-1", {}, 1, LeaseTiming {},
+                { [] { return true; }, [] { return std::size_t(0); },
+                    [&](const std::string&, const AcquiredLease& lease) { acquired = lease; } });
+            const auto write = [&](const std::string& value) {
+                table.commit({ part, {}, { { std::string(controlTable), std::string(leaseKey), value } } },
+                    1s, [](TableResult<Version>) {});
+            };
+            write(encodeLease({ "n9", "n9-1", 6, 1 }));
+            if (knowsEarlierRow)
+                election.reset(table.rows(std::string(controlTable)));
+            for (int i = 0; i < 8; ++i)
+                write(text);
+            election.reset(table.rows(std::string(controlTable)));
+            election.setPools({ "a" });
+            clock.advance(LeaseTiming {}.expiry - 1ms);
+            election.check();
+            clock.advance(1ms);
+            election.check();
+            BOOST_TEST(table.find(std::string(controlTable), part, std::string(leaseKey))->value == text);
+            clock.advance(1s);
+            election.check();
+            BOOST_REQUIRE(loop.runUntil([&] { return acquired.has_value(); }, 5s));
+            BOOST_TEST(acquired->row.term > 6u);
+            BOOST_TEST(acquired->row.term < 100u);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(poolAcquiredByAnotherNodeDelaysNoOtherPool)
 {
     // Six large nodes competed for one pool after the other, 0.4 s each, until a node with a 10 Mbit/s link
--- a/src/libfleet/pool_lease.cpp
+++ b/src/libfleet/pool_lease.cpp
@@ -1,4 +1,6 @@
+#include <damaskworks/json_input.h>
 #include <damaskworks/pool_lease.h>
+#include <damaskworks/row_fields.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -31,15 +33,12 @@
 
 std::optional<LeaseRow> decodeLease(std::string_view text)
 {
-    const auto value = json::parse(text, nullptr, false);
-    if (!value.is_object())
-        return std::nullopt;
-    try {
-        return LeaseRow { value.at("node").get<std::string>(), value.at("session").get<std::string>(),
-            value.at("term").get<std::uint64_t>(), value.at("renewals").get<std::uint64_t>() };
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
+    const auto value = parseJson(text);
+    RowFields fields(value);
+    LeaseRow lease { fields.text("node"), fields.text("session"),
+        static_cast<std::uint64_t>(fields.integer("term", { 0, maxTerm })),
+        static_cast<std::uint64_t>(fields.integer("renewals", anyCount)) };
+    return fields.isValid() ? std::optional(lease) : std::nullopt;
 }
 
 bool isAcquirable(const ObservedLease& lease, std::string_view node, const LeaseTiming& timing, TimePoint now)
--- a/src/libfleet/pool_lease_test.cpp
+++ b/src/libfleet/pool_lease_test.cpp
@@ -50,3 +50,13 @@
     BOOST_TEST(!decodeLease("[]"));
     BOOST_TEST(!decodeLease("{}"));
 }
+
+// The run numbers of a holder follow from its term and have 32 bits.
+BOOST_AUTO_TEST_CASE(leaseRowsWithNumbersOutOfRangeAreUnreadable)
+{
+    for (const auto* term : { "-1", "18446744073709551615", "4294967296", "1e300", "\"3\"" })
+        BOOST_TEST(!decodeLease(std::string("{\"node\":\"n1\",\"session\":\"s1\",\"term\":") + term
+                       + ",\"renewals\":5}"),
+            term);
+    BOOST_TEST(!decodeLease("{\"node\":\"n1\",\"session\":\"s1\",\"term\":3,\"renewals\":-1}"));
+}
