Leave out resources whose stored spec or status is unusable

What operators would see: one row of a resource with a value of another type, such as a VM whose address is a number, written past the API, ended every daemon ("terminate called", exit code 134), again after each restart, since all read all rows. A generation above all later ones kept good configurations from being applied. A deeply nested status in a watch overflows the stack when it is copied.

Cause: the API validates what operators write, but what is read back was used unchecked in the entry proxy, controllers, API and watches, where value() throws and the exception leaves a callback of the event loop. Catching it there would hide the other resources of the pass, so the check is where rows become resources.

The catalogue leaves out a spec with a known field that is out of its rule, and drops single fields of a status that have another type than controllers write; both are logged. Missing and unknown fields are accepted, so that daemons of two builds can run together, and so is an integer written as a decimal (jobs_test has such a team). The configuration is taken by the version of its row, which always increases, not by its generation. Ports of VMs are 1 to 65535.

--- a/src/damaskd/entry_pools.cpp
+++ b/src/damaskd/entry_pools.cpp
@@ -25,8 +25,10 @@
 void EntryProxy::updateRoutes(const Catalogue& catalogue)
 {
     const auto* configuration = catalogue.find(Kind::Configuration, currentConfigurationName);
-    if (!configuration || configuration->generation <= m_configurationGeneration)
+    // The version of the row always increases; its generation is what the writer put into it.
+    if (!configuration || configuration->version <= m_configurationVersion)
         return;
+    m_configurationVersion = configuration->version;
     m_configurationGeneration = configuration->generation;
     m_routes.clear();
     for (const auto& route : configuration->spec.value("routes", nlohmann::json::array()))
--- a/src/damaskd/entry_pvt.h
+++ b/src/damaskd/entry_pvt.h
@@ -133,6 +133,7 @@
     std::vector<std::pair<request::RequestId, std::uint32_t>> m_unsentAttempts; ///< not yet reported
     request::RequestId m_nextRequestId = 1;
     std::uint64_t m_configurationGeneration = 0;
+    TableVersion m_configurationVersion = 0;
 };
 
 } // namespace damask
--- a/src/damaskd/watch.cpp
+++ b/src/damaskd/watch.cpp
@@ -1,5 +1,6 @@
 #include "watch_pvt.h"
 
+#include <damaskworks/json_input.h>
 #include <nlohmann/json.hpp>
 
 namespace damask {
@@ -19,12 +20,13 @@
     event["type"] = row.deleted ? "deleted" : "changed";
     if (row.deleted)
         return event.dump() + "\n";
-    const auto value = json::parse(row.value, nullptr, false);
+    const auto value = parseJson(row.value);
+    Resource resource;
     if (key.isStatus)
-        event["status"] = value;
-    else if (value.is_object()) {
-        event["spec"] = value.value("spec", json::object());
-        event["generation"] = value.value("generation", 0);
+        event["status"] = value.is_object() ? value : json::object();
+    else if (resource::decodeSpecRow(row.value, resource)) {
+        event["spec"] = std::move(resource.spec);
+        event["generation"] = resource.generation;
     }
     return event.dump() + "\n";
 }
--- a/src/include/damaskworks/resource.h
+++ b/src/include/damaskworks/resource.h
@@ -86,6 +86,13 @@
 /// Sets each missing field of \p spec that has a default to it.
 std::vector<FieldError> validate(Kind kind, std::string_view name, nlohmann::json& spec);
 
+/// Whether each known field of a stored spec has an allowed value. Missing and unknown fields are accepted,
+/// since a daemon of another build may have written the spec.
+bool isUsableSpec(Kind kind, const nlohmann::json& spec);
+/// Removes the known fields of a stored status that have another type than controllers write. Returns their
+/// names.
+std::vector<std::string> removeUnusableFields(Kind kind, nlohmann::json& status);
+
 /// Encodes the value of the resource's spec row, as JSON text.
 std::string encodeSpecRow(const Resource& resource);
 /// Decodes the value of a spec row into the generation and spec of \p resource. Returns false, and changes
--- a/src/libresource/catalogue.cpp
+++ b/src/libresource/catalogue.cpp
@@ -1,4 +1,6 @@
 #include <damaskworks/catalogue.h>
+#include <damaskworks/json_input.h>
+#include <damaskworks/log.h>
 
 namespace damask {
 namespace {
@@ -22,6 +24,32 @@
     return stringMember(resource.spec, "pool");
 }
 
+/// The status in a row, without what is unreadable in it.
+nlohmann::json readStatus(const Row& row, Kind kind)
+{
+    auto status = parseJson(row.value);
+    if (!status.is_object()) {
+        logEvent(LogLevel::Error, "status_row_unreadable", { { "key", row.key } });
+        return nlohmann::json::object();
+    }
+    for (const auto& field : resource::removeUnusableFields(kind, status))
+        logEvent(LogLevel::Error, "status_field_unreadable", { { "key", row.key }, { "field", field } });
+    return status;
+}
+
+/// Reads the spec in a row into \p resource; changes nothing and returns false if it can't be used.
+bool readSpec(const Row& row, Resource& resource)
+{
+    Resource read;
+    if (resource::decodeSpecRow(row.value, read) && resource::isUsableSpec(resource.kind, read.spec)) {
+        resource.generation = read.generation;
+        resource.spec = std::move(read.spec);
+        return true;
+    }
+    logEvent(LogLevel::Error, "spec_row_unreadable", { { "key", row.key } });
+    return false;
+}
+
 } // namespace
 
 std::optional<Catalogue::Key> Catalogue::apply(const Row& row)
@@ -35,11 +63,9 @@
     entry.resource.name = parsed->name;
     if (parsed->isStatus) {
         entry.statusVersion = row.deleted ? 0 : row.version;
-        auto status
-            = row.deleted ? nlohmann::json::object() : nlohmann::json::parse(row.value, nullptr, false);
-        entry.resource.status = status.is_object() ? std::move(status) : nlohmann::json::object();
+        entry.resource.status = row.deleted ? nlohmann::json::object() : readStatus(row, parsed->kind);
     } else {
-        entry.hasSpec = !row.deleted && resource::decodeSpecRow(row.value, entry.resource);
+        entry.hasSpec = !row.deleted && readSpec(row, entry.resource);
         entry.resource.version = row.deleted ? 0 : row.version;
     }
     removeFromIndex(key, entry);
--- a/src/libresource/resource.cpp
+++ b/src/libresource/resource.cpp
@@ -1,9 +1,18 @@
+#include <damaskworks/json_input.h>
 #include <damaskworks/resource.h>
+#include <damaskworks/row_fields.h>
 
 namespace damask::resource {
 
 using nlohmann::json;
 
+namespace {
+
+/// Each change of a spec adds one, so that higher numbers are never reached.
+constexpr IntegerRange generationRange { 0, 1'000'000'000'000 };
+
+} // namespace
+
 std::string specKey(Kind kind, std::string_view name)
 {
     return std::string(specPrefix) + std::string(nameOf(kindNames, kind)) + "/" + std::string(name);
@@ -40,13 +49,14 @@
 
 bool decodeSpecRow(std::string_view text, Resource& resource)
 {
-    const auto row = json::parse(text, nullptr, false);
-    if (!row.is_object() || !row.contains("spec") || !row["spec"].is_object())
-        return false;
-    if (!row.contains("generation") || !row["generation"].is_number_unsigned())
+    auto row = parseJson(text);
+    RowFields fields(row);
+    const auto generation = fields.integer("generation", generationRange);
+    const auto& spec = fields.object("spec");
+    if (!fields.isValid())
         return false;
-    resource.generation = row["generation"];
-    resource.spec = row["spec"];
+    resource.generation = static_cast<std::uint64_t>(generation);
+    resource.spec = spec;
     return true;
 }
 
--- a/src/libresource/resource_test.cpp
+++ b/src/libresource/resource_test.cpp
@@ -63,3 +63,107 @@
         RC_ASSERT(catalogue.listByPool(Kind::Vm, pool) == scanned);
     }
 }
+
+namespace {
+
+std::string nested(std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
+
+void applySpec(
+    Catalogue& catalogue, Kind kind, const std::string& name, const std::string& spec, TableVersion version)
+{
+    catalogue.apply(
+        { resource::specKey(kind, name), version, "{\"generation\":1,\"spec\":" + spec + "}", false });
+}
+
+} // namespace
+
+// Every daemon reads these rows. A value of another type threw an exception that no one caught, so that one
+// row ended all daemons, again after each restart.
+BOOST_AUTO_TEST_CASE(specRowsThatNoOperatorCanHaveWrittenAreLeftOut)
+{
+    const std::vector<std::pair<Kind, std::string>> odd {
+        { Kind::Vm, "{\"pool\":7}" },
+        { Kind::Vm, "{\"pool\":\"p\",\"address\":5}" },
+        { Kind::Vm, "{\"pool\":\"p\",\"address\":\"127.0.0.1:65536\"}" },
+        { Kind::Vm, "{\"pool\":\"p\",\"address\":\"127.0.0.1:0\"}" },
+        { Kind::Vm, "{\"pool\":\"p\",\"address\":\"127.0.0.1:-1\"}" },
+        { Kind::Vm, "{\"pool\":\"p\",\"cpu\":1e300}" },
+        { Kind::Vm, "{\"pool\":\"p\",\"labels\":" + nested(100'000) + "}" },
+        { Kind::Pool, "{\"slotsPerVm\":\"many\"}" },
+        { Kind::Pool, "{\"slotsPerVm\":-1}" },
+        { Kind::Pool, "{\"slotsPerVm\":4294967297}" },
+        { Kind::Pool, "{\"requestTimeoutMs\":1e300}" },
+        { Kind::Pool, "{\"queueLimit\":18446744073709551615}" },
+        { Kind::Job, "{\"pool\":\"p\",\"cpu\":[]}" },
+        { Kind::Budget, "{\"pool\":\"p\",\"maxUnavailable\":-1}" },
+        { Kind::Wave, "{\"pool\":\"p\",\"stopAfterFailures\":1e300}" },
+        { Kind::Team, "{\"cpu\":null}" },
+        { Kind::Configuration, "{\"routes\":7}" },
+        { Kind::Configuration, "{\"routes\":[7]}" },
+        { Kind::Configuration, "{\"routes\":[{\"prefix\":7}]}" },
+        { Kind::Configuration, "{\"routes\":[],\"policy\":[]}" },
+        { Kind::Configuration, "{\"routes\":[],\"policy\":{\"move\":7}}" },
+        { Kind::Configuration, "{\"routes\":[],\"policy\":{\"maintenance\":{\"rebootTimeoutMs\":1e300}}}" },
+    };
+    for (const auto& [kind, spec] : odd) {
+        Catalogue catalogue;
+        applySpec(catalogue, kind, "a-good", "{\"unknown\":1}", 1);
+        applySpec(catalogue, kind, "odd", spec, 2);
+        applySpec(catalogue, kind, "z-good", "{}", 3);
+        BOOST_TEST(catalogue.list(kind).size() == 2u, spec.substr(0, 80));
+        applySpec(catalogue, kind, "odd", "{}", 4);
+        BOOST_TEST(catalogue.list(kind).size() == 3u, spec.substr(0, 80));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(integersWrittenAsDecimalsAreRead)
+{
+    Catalogue catalogue;
+    applySpec(catalogue, Kind::Team, "t", "{\"cpu\":4,\"memoryMb\":1e6}", 1);
+    BOOST_TEST(catalogue.list(Kind::Team).size() == 1u);
+}
+
+// A generation above those of all later configurations kept these from being applied.
+BOOST_AUTO_TEST_CASE(specRowsWithAnOddGenerationAreLeftOut)
+{
+    for (const auto* generation :
+        { "-1", "1.5", "1e300", "1e999", "18446744073709551615", "\"1\"", "null" }) {
+        Catalogue catalogue;
+        catalogue.apply({ resource::specKey(Kind::Pool, "p"), 1,
+            std::string("{\"generation\":") + generation + ",\"spec\":{}}", false });
+        BOOST_TEST(catalogue.list(Kind::Pool).empty(), generation);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(oddFieldsOfAStatusHideNoOthers)
+{
+    const std::vector<std::tuple<Kind, std::string, std::string>> odd {
+        { Kind::Vm, "pool", "7" },
+        { Kind::Vm, "attempt", "-1" },
+        { Kind::Vm, "attempt", "4294967296" },
+        { Kind::Vm, "incarnationBefore", "1e300" },
+        { Kind::Pool, "disruptions", "[7]" },
+        { Kind::Pool, "disruptions", "[{\"vm\":7}]" },
+        { Kind::Pool, "conditions", "{\"type\":\"x\"}" },
+        { Kind::Wave, "doneVms", "[7]" },
+        { Kind::Wave, "total", "-1" },
+        { Kind::Job, "failedOn", "\"v1\"" },
+        { Kind::Job, "conditions", "[[]]" },
+        { Kind::Job, "epoch", "-1" },
+    };
+    for (const auto& [kind, field, text] : odd) {
+        Catalogue catalogue;
+        applySpec(catalogue, kind, "r", "{}", 1);
+        catalogue.apply({ resource::statusKey(kind, "r"), 2,
+            "{\"" + field + "\":" + text + ",\"phase\":\"draining\",\"kept\":1}", false });
+        const auto& status = catalogue.find(kind, "r")->status;
+        BOOST_TEST(!status.contains(field), field << " " << text);
+        BOOST_TEST(status.value("phase", "") == "draining");
+        BOOST_TEST(status.contains("kept"));
+    }
+    Catalogue catalogue;
+    applySpec(catalogue, Kind::Vm, "v", "{}", 1);
+    catalogue.apply({ resource::statusKey(Kind::Vm, "v"), 2, "{\"other\":" + nested(100'000) + "}", false });
+    BOOST_TEST(catalogue.find(Kind::Vm, "v")->status.empty());
+    BOOST_TEST(catalogue.statusVersion(Kind::Vm, "v") == 2u);
+}
--- a/src/libresource/validate.cpp
+++ b/src/libresource/validate.cpp
@@ -1,6 +1,8 @@
 #include <damaskworks/http.h>
 #include <damaskworks/resource.h>
 
+#include <algorithm>
+#include <limits>
 #include <span>
 
 namespace damask::resource {
@@ -154,6 +156,14 @@
     return value.is_string() && isName(value.get_ref<const std::string&>());
 }
 
+bool isAddressOfVm(const json& value)
+{
+    if (!value.is_string())
+        return false;
+    const auto address = http::parseAddress(value.get_ref<const std::string&>());
+    return address && address->port != 0;
+}
+
 constexpr std::string_view nameDescription = "1 to 63 of a-z, 0-9 and '-', not starting with '-'";
 
 std::string describeRange(const FieldRule& rule, std::string_view noun)
@@ -181,9 +191,9 @@
             return std::nullopt;
         return "a string, length" + describeRange(rule, "");
     case FieldType::Address:
-        if (value.is_string() && http::parseAddress(value.get_ref<const std::string&>()))
+        if (isAddressOfVm(value))
             return std::nullopt;
-        return "ip:port";
+        return "ip:port with a port from 1 to 65535";
     case FieldType::Integer:
         return value.is_number_integer() && isInRange(rule, value)
             ? std::nullopt
@@ -263,8 +273,148 @@
         validateFields(maintenancePolicyRules(), "spec.policy.maintenance", policy["maintenance"], errors);
 }
 
+/// Whether a stored value can be used although the API might not accept it: an integer may be written as 1e6.
+bool isUsable(const FieldRule& rule, const json& value)
+{
+    if (rule.type == FieldType::Integer)
+        return value.is_number() && isInRange(rule, value);
+    return !describeViolation(rule, value);
+}
+
+/// Whether the fields of \p object that the rules know are absent or usable.
+bool areKnownFieldsUsable(const std::vector<FieldRule>& rules, const json& object)
+{
+    return object.is_object() && std::all_of(rules.begin(), rules.end(), [&](const FieldRule& rule) {
+        const auto field = object.find(rule.name);
+        return field == object.end() || isUsable(rule, *field);
+    });
+}
+
+/// Like areKnownFieldsUsable(), for the object in an optional field.
+bool isNestedObjectUsable(const std::vector<FieldRule>& rules, const json& object, const char* name)
+{
+    const auto field = object.find(name);
+    return field == object.end() || areKnownFieldsUsable(rules, *field);
+}
+
+enum class StatusType { Text, Count32, Count64, TextList, RecordList };
+
+/// Type of one field of a status.
+struct StatusRule {
+    std::string_view name;
+    StatusType type;
+};
+
+std::span<const StatusRule> statusRulesFor(Kind kind)
+{
+    static constexpr StatusRule poolRules[] = {
+        { "disruptions", StatusType::RecordList },
+        { "conditions", StatusType::RecordList },
+    };
+    static constexpr StatusRule vmRules[] = {
+        { "pool", StatusType::Text },
+        { "phase", StatusType::Text },
+        { "operation", StatusType::Text },
+        { "moveTo", StatusType::Text },
+        { "incarnationBefore", StatusType::Count64 },
+        { "attempt", StatusType::Count32 },
+    };
+    static constexpr StatusRule jobRules[] = {
+        { "phase", StatusType::Text },
+        { "vm", StatusType::Text },
+        { "task", StatusType::Text },
+        { "epoch", StatusType::Count64 },
+        { "attempts", StatusType::Count32 },
+        { "ending", StatusType::Text },
+        { "failedOn", StatusType::TextList },
+        { "conditions", StatusType::TextList },
+        { "generation", StatusType::Count64 },
+        { "specVersion", StatusType::Count64 },
+    };
+    static constexpr StatusRule waveRules[] = {
+        { "phase", StatusType::Text },
+        { "done", StatusType::Count32 },
+        { "failed", StatusType::Count32 },
+        { "total", StatusType::Count32 },
+        { "doneVms", StatusType::TextList },
+        { "failedVms", StatusType::TextList },
+        { "conditions", StatusType::RecordList },
+    };
+    switch (kind) {
+    case Kind::Pool:
+        return poolRules;
+    case Kind::Vm:
+        return vmRules;
+    case Kind::Job:
+        return jobRules;
+    case Kind::Wave:
+        return waveRules;
+    case Kind::Budget:
+    case Kind::Team:
+    case Kind::Configuration:
+        break;
+    }
+    return {};
+}
+
+bool isText(const json& value) { return value.is_string(); }
+
+/// Whether the value is an object of texts.
+bool isRecord(const json& value)
+{
+    return value.is_object() && std::all_of(value.begin(), value.end(), isText);
+}
+
+bool hasType(const json& value, StatusType type)
+{
+    constexpr std::uint64_t maxCount32 = std::numeric_limits<std::uint32_t>::max();
+    switch (type) {
+    case StatusType::Text:
+        return value.is_string();
+    case StatusType::Count32:
+        return value.is_number_unsigned() && value.get<std::uint64_t>() <= maxCount32;
+    case StatusType::Count64:
+        return value.is_number_unsigned();
+    case StatusType::TextList:
+        return value.is_array() && std::all_of(value.begin(), value.end(), isText);
+    case StatusType::RecordList:
+        return value.is_array() && std::all_of(value.begin(), value.end(), isRecord);
+    }
+    return false;
+}
+
 } // namespace
 
+bool isUsableSpec(Kind kind, const json& spec)
+{
+    if (!areKnownFieldsUsable(rulesFor(kind), spec))
+        return false;
+    if (kind != Kind::Configuration)
+        return true;
+    const auto policy = spec.find("policy");
+    const bool hasUsablePolicy = policy == spec.end()
+        || (isNestedObjectUsable(movePolicyRules(), *policy, "move")
+            && isNestedObjectUsable(maintenancePolicyRules(), *policy, "maintenance"));
+    const auto routes = spec.find("routes");
+    return hasUsablePolicy
+        && (routes == spec.end() || std::all_of(routes->begin(), routes->end(), [](const json& route) {
+               return areKnownFieldsUsable(routeRules(), route);
+           }));
+}
+
+std::vector<std::string> removeUnusableFields(Kind kind, json& status)
+{
+    std::vector<std::string> removed;
+    for (const auto& rule : statusRulesFor(kind)) {
+        const auto field = status.find(rule.name);
+        if (field == status.end() || hasType(*field, rule.type))
+            continue;
+        status.erase(field);
+        removed.emplace_back(rule.name);
+    }
+    return removed;
+}
+
 std::vector<FieldError> validate(Kind kind, std::string_view name, json& spec)
 {
     std::vector<FieldError> errors;
