Treat an unreadable controller lease as held by an unknown node

A lease row with a value of another type threw out of the mirror's listener and ended every daemon.

Cause: value() of nlohmann::json throws for another type, and "unreadable" was the same as "released". Ruled out: the fencing row; it still kept the old holder's transactions out, but not its commands.

The row is read with types and ranges. If that fails, the holder is unknown, so that the lease expires before it can be acquired, and the epoch of the last readable row stays, so that the next one is higher.

Before, on: fleet_kernel_test, unreadableLeaseRowEndsNoNodeAndGrantsNothingBeforeTheExpiry: type_error 302. Now it passes. What remains: a node that has read no earlier row starts at epoch 1.

--- a/src/libkernel/lease.cpp
+++ b/src/libkernel/lease.cpp
@@ -1,4 +1,7 @@
+#include <damaskworks/json_input.h>
 #include <damaskworks/lease.h>
+#include <damaskworks/log.h>
+#include <damaskworks/row_fields.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -10,6 +13,9 @@
 using nlohmann::json;
 
 constexpr std::size_t maxRenewalsPerTransaction = 64;
+constexpr IntegerRange countRange { 0, 1'000'000'000'000'000 };
+/// Holder of a lease whose row is unreadable; no node has this name.
+constexpr std::string_view unknownHolder = "?";
 
 std::string leaseKey(std::string_view key) { return std::string(leasePrefix) + std::string(key); }
 std::string fenceKey(std::string_view key) { return std::string(fencePrefix) + std::string(key); }
@@ -21,13 +27,14 @@
     }.dump();
 }
 
-Content fromText(const std::string& text)
+std::optional<Content> fromText(const std::string& text)
 {
-    const auto row = json::parse(text, nullptr, false);
-    if (!row.is_object())
-        return {};
-    return { row.value("holder", ""), row.value("epoch", std::uint64_t { 0 }),
-        row.value("renewal", std::uint64_t { 0 }) };
+    const auto row = parseJson(text);
+    RowFields fields(row);
+    Content content { fields.text("holder", ""),
+        static_cast<std::uint64_t>(fields.integer("epoch", countRange, 0)),
+        static_cast<std::uint64_t>(fields.integer("renewal", countRange, 0)) };
+    return fields.isValid() ? std::optional(content) : std::nullopt;
 }
 
 std::uint64_t hashScore(std::string_view key, std::string_view member)
@@ -98,7 +105,13 @@
     lease.version = row.version;
     lease.unchangedSince = now;
     const auto epoch = lease.content.epoch;
-    lease.content = fromText(row.value);
+    if (auto content = fromText(row.value)) {
+        lease.content = std::move(*content);
+    } else {
+        // Another node may hold the lease, so that it can be acquired only once it has expired.
+        logEvent(LogLevel::Error, "lease_row_unreadable", { { "key", row.key } });
+        lease.content.holder = unknownHolder;
+    }
     if (lease.content.holder != state.node || lease.content.epoch != epoch)
         lease.held = false;
 }
--- a/src/libkernel/lease_test.cpp
+++ b/src/libkernel/lease_test.cpp
@@ -137,6 +137,29 @@
     BOOST_TEST(holderCount() == 1);
 }
 
+// A row with a value of another type ended every node. One that was no object counted as a released lease,
+// and two nodes acted until the holder had read it.
+BOOST_FIXTURE_TEST_CASE(unreadableLeaseRowEndsNoNodeAndGrantsNothingBeforeTheExpiry, Fixture)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const std::string& text :
+        { std::string("{\"holder\":7}"), std::string("{\"holder\":\"x\",\"epoch\":-1}"),
+            std::string("{\"holder\":\"x\",\"epoch\":18446744073709551615}"),
+            std::string("{\"holder\":\"x\",\"epoch\":1e300}"), std::string("[]"), std::string(),
+            "{\"holder\":" + deep + "}" }) {
+        run(30s);
+        BOOST_REQUIRE(holderCount() == 1);
+        const auto epoch = nodes[nodesByRank[0]].state.leases[key].content.epoch;
+        const auto fence = table.row("e/pool/pricing")->version;
+        (void)table.commit({ {}, { { "l/pool/pricing", text } } });
+        run(settings.length - 100ms);
+        BOOST_TEST(table.row("e/pool/pricing")->version == fence, text.substr(0, 50));
+        run(20s);
+        BOOST_TEST(holderCount() == 1, text.substr(0, 50));
+        BOOST_TEST(nodes[nodesByRank[0]].state.leases[key].content.epoch > epoch, text.substr(0, 50));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(leasesSpreadOverMembers)
 {
     const std::vector<std::string> members { "a", "b", "c", "d", "e", "f", "g", "h" };
