Refuse the repeat of a request whose stored claim is unreadable

A damaged claim of an idempotency key ended each daemon that a repeat of the request reached: the MessagePack parser of nlohmann::json calls itself for each level (stack overflow), from_msgpack() was followed by value() and get() that throw, and a missing body was read by operator[] of a constant object (undefined).

The elements are first parsed without building them, by a handler that ends the parse below 8 levels; the parser asks it before it goes deeper. Then each member is read with its type. A claim that is unreadable in any part makes the repeat unverifiable, as one that can't be read from the table: nothing runs and nothing is replayed.

Before, on: daemon_test (new), repeatOfARequestWithAnUnreadableClaimIsRefused: memory access violation. Now it passes, with a case that a stored response is still replayed byte for byte.

--- a/src/damaskd/keyed_requests.cpp
+++ b/src/damaskd/keyed_requests.cpp
@@ -1,5 +1,7 @@
 #include "keyed_requests_pvt.h"
 
+#include <damaskworks/row_fields.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -15,6 +17,9 @@
 constexpr std::chrono::milliseconds expiryPeriod { 2000 };
 constexpr std::size_t maxDeletionsPerCommit = 32;
 constexpr std::size_t maxWritesPerRetry = 16;
+/// A claim, its response, the list of headers, a header.
+constexpr std::size_t maxClaimDepth = 8;
+constexpr IntegerRange statusRange { 100, 999 };
 
 /// XXH3 128-bit hash as 32 hexadecimal digits.
 std::string hexHash(std::string_view text)
@@ -59,28 +64,78 @@
     return text + "\"";
 }
 
-/// Decodes the text of a claim's row; nothing if it is malformed.
-std::optional<idempotency::Claim> decodeClaim(const std::string& text)
+/// Receives the elements of a claim's MessagePack and builds nothing. Ends the parse if they nest too deeply,
+/// because the parser calls itself for each level.
+class ClaimDepth final : public nlohmann::json_sax<json> {
+public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool start_object(std::size_t) override { return ++m_depth <= maxClaimDepth; }
+    bool key(string_t&) override { return true; }
+    bool end_object() override { return leave(); }
+    bool start_array(std::size_t) override { return ++m_depth <= maxClaimDepth; }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t, const std::string&, const json::exception&) override { return false; }
+
+private:
+    bool leave()
+    {
+        --m_depth;
+        return true;
+    }
+    std::size_t m_depth = 0;
+};
+
+/// The bytes of a claim's row, see encodeClaim().
+std::vector<std::uint8_t> claimBytes(const std::string& text)
 {
     std::vector<std::uint8_t> bytes;
     for (std::size_t at = 1; at + 2 < text.size(); at += 2)
         bytes.push_back(static_cast<std::uint8_t>(std::strtoul(text.substr(at, 2).c_str(), nullptr, 16)));
-    const auto value = json::from_msgpack(bytes, true, false);
-    if (!value.is_object())
+    return bytes;
+}
+
+std::optional<idempotency::StoredResponse> decodeResponse(const json& value)
+{
+    RowFields fields(value);
+    idempotency::StoredResponse response { static_cast<int>(fields.integer("status", statusRange)), {}, "" };
+    for (const auto& header : fields.array("headers")) {
+        if (!header.is_array() || header.size() != 2 || !header[0].is_string() || !header[1].is_string())
+            return std::nullopt;
+        response.headers.emplace_back(header[0].get<std::string>(), header[1].get<std::string>());
+    }
+    const auto body = value.is_object() ? value.find("body") : value.end();
+    if (!fields.isValid() || body == value.end() || !body->is_binary())
         return std::nullopt;
-    const auto state = valueOf(idempotency::claimStateNames, value.value("state", ""));
-    if (!state)
+    response.body.assign(body->get_binary().begin(), body->get_binary().end());
+    return response;
+}
+
+/// Decodes the text of a claim's row; nothing if it is malformed.
+std::optional<idempotency::Claim> decodeClaim(const std::string& text)
+{
+    const auto bytes = claimBytes(text);
+    ClaimDepth depth;
+    if (!json::sax_parse(bytes, &depth, json::input_format_t::msgpack))
+        return std::nullopt;
+    const auto value = json::from_msgpack(bytes, true, false);
+    RowFields fields(value);
+    const auto state = valueOf(idempotency::claimStateNames, fields.text("state"));
+    idempotency::Claim claim { fields.text("node", ""),
+        static_cast<std::uint64_t>(fields.integer("incarnation", anyCount, 0)),
+        static_cast<std::uint64_t>(fields.integer("serial", anyCount, 0)), fields.text("fingerprint", ""),
+        state.value_or(idempotency::ClaimState::Unknown), std::nullopt };
+    if (!fields.isValid() || !state)
         return std::nullopt;
-    idempotency::Claim claim { value.value("node", ""), value.value("incarnation", std::uint64_t { 0 }),
-        value.value("serial", std::uint64_t { 0 }), value.value("fingerprint", ""), *state, std::nullopt };
     if (!value.contains("answer"))
         return claim;
-    const auto& response = value["answer"];
-    const auto& body = response["body"].get_binary();
-    claim.response = { response.value("status", 0), {}, std::string(body.begin(), body.end()) };
-    for (const auto& header : response["headers"])
-        claim.response->headers.emplace_back(header[0].get<std::string>(), header[1].get<std::string>());
-    return claim;
+    claim.response = decodeResponse(value["answer"]);
+    return claim.response ? std::optional(claim) : std::nullopt;
 }
 
 /// The response as stored for repeats; nothing if it exceeds idempotency::maxStoredResponseBytes.
