Read the platform's lists entry by entry

One VM in the platform's list with a value of another type or a number such as 1e999 made the whole list unreadable, so the daemon kept its old list and no other VM appeared or left; the same for reports on VMs. An error body with a value of another type threw out of the client's callback, which ends the process. Deep nesting overflowed the stack.

Lists of VMs and of reports on VMs are split into their entries; a malformed one is logged and left out ("it names no VM"). Reports on tasks are different: a task without a report counts as lost and is run again, so only its measured use may be unreadable, and any other odd member still makes the list malformed, as before. Rows of the table stay all or nothing: their values are opaque text here, and leaving one out would lose a change.

--- a/src/http.platform/http_platform.cpp
+++ b/src/http.platform/http_platform.cpp
@@ -1,7 +1,10 @@
 /// \file
 /// Platform adapter "http": calls the platform's API with JSON over HTTP.
+#include <damaskworks/json_input.h>
+#include <damaskworks/log.h>
 #include <damaskworks/platform.h>
 #include <damaskworks/registry.h>
+#include <damaskworks/row_fields.h>
 
 #include <nlohmann/json.hpp>
 
@@ -10,6 +13,9 @@
 
 using nlohmann::json;
 
+constexpr IntegerRange runCountRange { 0, 1'000'000 };
+constexpr std::size_t maxLoggedEntryBytes = 200;
+
 /// Converts a failure to get a response. A write has an unknown outcome once any byte of the request may have
 /// left.
 PlatformError fromClientError(const HttpClientError& error, bool isWrite)
@@ -25,16 +31,16 @@
 {
     PlatformError error;
     error.detail = "HTTP status " + std::to_string(response.status);
-    const auto body = json::parse(response.body, nullptr, false);
+    const auto body = parseJson(response.body);
     switch (response.status) {
     case 404:
         error.failure = PlatformFailure::NotFound;
         break;
     case 409:
         error.failure = PlatformFailure::Conflict;
-        if (body.is_object()) {
-            error.key = body.value("key", "");
-            error.presentVersion = body.value("version", TableVersion { 0 });
+        if (RowFields fields(body); fields.isValid()) {
+            error.key = fields.text("key", "");
+            error.presentVersion = static_cast<TableVersion>(fields.integer("version", anyCount, 0));
         }
         break;
     case 410:
@@ -53,64 +59,145 @@
     return error;
 }
 
-Row parseRow(const json& value)
+std::optional<Row> parseRow(const json& value)
 {
+    RowFields fields(value);
     Row row;
-    row.key = value.value("key", "");
-    row.version = value.value("version", TableVersion { 0 });
-    row.deleted = value.value("deleted", false);
-    row.value = value.value("value", "");
-    return row;
+    row.key = fields.text("key", "");
+    row.version = static_cast<TableVersion>(fields.integer("version", anyCount, 0));
+    row.deleted = fields.flag("deleted", false);
+    row.value = fields.text("value", "");
+    return fields.isValid() ? std::optional(row) : std::nullopt;
 }
 
-Changes parseChanges(const json& value)
+std::optional<Changes> parseChanges(const json& value)
 {
+    RowFields fields(value);
     Changes changes;
-    changes.version = value.value("version", TableVersion { 0 });
-    for (const auto& row : value.value("rows", json::array()))
-        changes.rows.push_back(parseRow(row));
-    return changes;
+    changes.version = static_cast<TableVersion>(fields.integer("version", anyCount, 0));
+    for (const auto& entry : fields.array("rows", true)) {
+        auto row = parseRow(entry);
+        if (!row)
+            return std::nullopt;
+        changes.rows.push_back(std::move(*row));
+    }
+    return fields.isValid() ? std::optional(changes) : std::nullopt;
+}
+
+std::optional<TableVersion> parseVersion(const json& value)
+{
+    RowFields fields(value);
+    const auto version = fields.integer("version", anyCount, 0);
+    return fields.isValid() ? std::optional(static_cast<TableVersion>(version)) : std::nullopt;
 }
 
-ListedVm parseListedVm(const json& value)
+std::optional<std::string> parseObjectValue(const json& value)
 {
+    RowFields fields(value);
+    auto text = fields.text("value", "");
+    return fields.isValid() ? std::optional(std::move(text)) : std::nullopt;
+}
+
+std::optional<bool> alwaysTrue(const json&) { return true; }
+
+std::optional<ListedVm> parseListedVm(const json& value)
+{
+    RowFields fields(value);
     ListedVm vm;
-    vm.id = value.value("id", "");
-    vm.role = valueOf(vmRoleNames, value.value("role", "")).value_or(VmRole::Worker);
-    vm.state = valueOf(listedStateNames, value.value("state", "")).value_or(ListedState::Gone);
-    vm.dataCentre = value.value("dataCentre", "");
-    vm.rack = value.value("rack", "");
-    vm.address = http::parseAddress(value.value("address", "")).value_or(Address {});
-    vm.incarnation = value.value("incarnation", std::uint64_t { 0 });
-    return vm;
+    vm.id = fields.text("id", "");
+    vm.role = valueOf(vmRoleNames, fields.text("role", "")).value_or(VmRole::Worker);
+    vm.state = valueOf(listedStateNames, fields.text("state", "")).value_or(ListedState::Gone);
+    vm.dataCentre = fields.text("dataCentre", "");
+    vm.rack = fields.text("rack", "");
+    vm.address = http::parseAddress(fields.text("address", "")).value_or(Address {});
+    vm.incarnation = static_cast<std::uint64_t>(fields.integer("incarnation", anyCount, 0));
+    return fields.isValid() ? std::optional(vm) : std::nullopt;
 }
 
-VmReport parseVmReport(const json& value)
+std::optional<VmReport> parseVmReport(const json& value)
 {
+    RowFields fields(value);
     VmReport report;
-    report.id = value.value("id", "");
-    report.reachable = value.value("reachable", false);
-    report.healthy = value.value("healthy", false);
-    report.draining = value.value("draining", false);
-    report.runningRequests = value.value("runningRequests", 0u);
-    report.runningTasks = value.value("runningTasks", 0u);
-    report.incarnation = value.value("incarnation", std::uint64_t { 0 });
-    return report;
+    report.id = fields.text("id", "");
+    report.reachable = fields.flag("reachable", false);
+    report.healthy = fields.flag("healthy", false);
+    report.draining = fields.flag("draining", false);
+    report.runningRequests = static_cast<std::uint32_t>(fields.integer("runningRequests", runCountRange, 0));
+    report.runningTasks = static_cast<std::uint32_t>(fields.integer("runningTasks", runCountRange, 0));
+    report.incarnation = static_cast<std::uint64_t>(fields.integer("incarnation", anyCount, 0));
+    return fields.isValid() ? std::optional(report) : std::nullopt;
 }
 
-TaskReport parseTaskReport(const json& value)
+/// The number in a member; 0 if there is none.
+double numberOrZero(const json& object, const char* name)
 {
+    const auto member = object.find(name);
+    return member != object.end() && member->is_number() ? member->get<double>() : 0;
+}
+
+/// What a task uses may be unreadable; its identity and state may not.
+std::optional<TaskReport> parseTaskReport(const json& value)
+{
+    RowFields fields(value);
     TaskReport report;
-    report.task = value.value("task", "");
-    report.job = value.value("job", "");
-    report.vm = value.value("vm", "");
-    report.state = valueOf(taskStateNames, value.value("state", "")).value_or(TaskState::Unknown);
-    report.cpuUsed = value.value("cpuUsed", 0.0);
-    report.memoryUsedMb = value.value("memoryUsedMb", 0.0);
-    report.checkpointed = value.value("checkpointed", false);
+    report.task = fields.text("task", "");
+    report.job = fields.text("job", "");
+    report.vm = fields.text("vm", "");
+    report.state = valueOf(taskStateNames, fields.text("state", "")).value_or(TaskState::Unknown);
+    report.checkpointed = fields.flag("checkpointed", false);
+    if (!fields.isValid())
+        return std::nullopt;
+    report.cpuUsed = numberOrZero(value, "cpuUsed");
+    report.memoryUsedMb = numberOrZero(value, "memoryUsedMb");
     return report;
 }
 
+/// Converts the response text; nothing if it is malformed.
+template <typename T> using ResponseParser = std::optional<T> (*)(std::string_view);
+
+template <typename T, std::optional<T> (*convert)(const json&)>
+std::optional<T> parseResponse(std::string_view text)
+{
+    const auto value = parseJson(text);
+    return value.is_object() ? convert(value) : std::nullopt;
+}
+
+/// The entries of a list, without those that are malformed: one VM must not hide the others.
+template <typename T, std::optional<T> (*convert)(const json&)>
+std::optional<std::vector<T>> parseItems(std::string_view text)
+{
+    const auto list = parseJsonWithList(text, "items");
+    if (!list.object.is_object())
+        return std::nullopt;
+    std::vector<T> out;
+    for (const auto entry : list.entries) {
+        if (auto item = parseResponse<T, convert>(entry))
+            out.push_back(std::move(*item));
+        else
+            logEvent(LogLevel::Warning, "list_entry_malformed",
+                { { "entry", std::string(entry.substr(0, maxLoggedEntryBytes)) } });
+    }
+    return out;
+}
+
+/// The reports on all tasks; nothing if one is malformed, since a task without a report counts as lost and is
+/// run again.
+std::optional<std::vector<TaskReport>> parseTaskReports(std::string_view text)
+{
+    const auto list = parseJsonWithList(text, "items");
+    if (!list.object.is_object())
+        return std::nullopt;
+    std::vector<TaskReport> out;
+    for (const auto entry : list.entries) {
+        const auto value = parseReadableMembers(entry);
+        auto report = value.is_object() ? parseTaskReport(value) : std::nullopt;
+        if (!report)
+            return std::nullopt;
+        out.push_back(std::move(*report));
+    }
+    return out;
+}
+
 json toJson(const Transaction& transaction)
 {
     json conditions = json::array();
@@ -133,124 +220,96 @@
 
     void readRow(std::string_view key, PlatformCallback<Row> callback) override
     {
-        call<Row>(
-            "GET", "/table/row", "key=" + http::percentEncode(key), "", false, parseRow, std::move(callback));
+        call<Row>("GET", "/table/row", "key=" + http::percentEncode(key), "", false,
+            parseResponse<Row, parseRow>, std::move(callback));
     }
-
     void readRows(std::string_view prefix, PlatformCallback<Changes> callback) override
     {
-        call<Changes>("GET", "/table/rows", "prefix=" + http::percentEncode(prefix), "", false, parseChanges,
-            std::move(callback));
+        call<Changes>("GET", "/table/rows", "prefix=" + http::percentEncode(prefix), "", false,
+            parseResponse<Changes, parseChanges>, std::move(callback));
     }
-
     void readChanges(std::string_view prefix, TableVersion since, PlatformCallback<Changes> callback) override
     {
         const auto query = "prefix=" + http::percentEncode(prefix) + "&since=" + std::to_string(since);
-        call<Changes>("GET", "/table/changes", query, "", false, parseChanges, std::move(callback));
+        call<Changes>("GET", "/table/changes", query, "", false, parseResponse<Changes, parseChanges>,
+            std::move(callback));
     }
-
     void commit(const Transaction& transaction, PlatformCallback<TableVersion> callback) override
     {
-        auto convert = [](const json& value) { return value.value("version", TableVersion { 0 }); };
-        call<TableVersion>(
-            "POST", "/table/commit", "", toJson(transaction).dump(), true, convert, std::move(callback));
+        call<TableVersion>("POST", "/table/commit", "", toJson(transaction).dump(), true,
+            parseResponse<TableVersion, parseVersion>, std::move(callback));
     }
-
     void readObject(std::string_view name, PlatformCallback<std::string> callback) override
     {
-        auto convert = [](const json& value) { return value.value("value", ""); };
-        call<std::string>(
-            "GET", "/objects/" + http::percentEncode(name), "", "", false, convert, std::move(callback));
+        call<std::string>("GET", "/objects/" + http::percentEncode(name), "", "", false,
+            parseResponse<std::string, parseObjectValue>, std::move(callback));
     }
-
     void writeObject(std::string_view name, std::string value, PlatformCallback<bool> callback) override
     {
         const json body = { { "value", value } };
-        call<bool>("PUT", "/objects/" + http::percentEncode(name), "", body.dump(), true, alwaysTrue,
+        call<bool>("PUT", "/objects/" + http::percentEncode(name), "", body.dump(), true, acknowledge,
             std::move(callback));
     }
-
     void listVms(PlatformCallback<std::vector<ListedVm>> callback) override
     {
         call<std::vector<ListedVm>>(
             "GET", "/vms", "", "", false, parseItems<ListedVm, parseListedVm>, std::move(callback));
     }
-
     void sendVmCommand(std::string_view vm, VmCommand command, PlatformCallback<bool> callback) override
     {
         const auto path
             = "/vms/" + http::percentEncode(vm) + "/" + std::string(nameOf(vmCommandNames, command));
-        call<bool>("POST", path, "", "{}", true, alwaysTrue, std::move(callback));
+        call<bool>("POST", path, "", "{}", true, acknowledge, std::move(callback));
     }
-
     void readVmReports(PlatformCallback<std::vector<VmReport>> callback) override
     {
         call<std::vector<VmReport>>(
             "GET", "/reports/vms", "", "", false, parseItems<VmReport, parseVmReport>, std::move(callback));
     }
-
     void sendTaskCommand(const TaskRequest& request, PlatformCallback<bool> callback) override
     {
         const json body = { { "task", request.task }, { "vm", request.vm },
             { "leaseEpoch", request.leaseEpoch }, { "job", request.job }, { "spec", request.spec } };
         const auto path = "/tasks/" + std::string(nameOf(taskCommandNames, request.command));
-        call<bool>("POST", path, "", body.dump(), true, alwaysTrue, std::move(callback));
+        call<bool>("POST", path, "", body.dump(), true, acknowledge, std::move(callback));
     }
 
     void readTaskReports(PlatformCallback<std::vector<TaskReport>> callback) override
     {
-        call<std::vector<TaskReport>>("GET", "/reports/tasks", "", "", false,
-            parseItems<TaskReport, parseTaskReport>, std::move(callback));
+        call<std::vector<TaskReport>>(
+            "GET", "/reports/tasks", "", "", false, parseTaskReports, std::move(callback));
     }
 
     void setAcceptingConnections(
         std::string_view vm, bool accepting, PlatformCallback<bool> callback) override
     {
         const json body = { { "accepting", accepting } };
-        call<bool>("POST", "/balancer/" + http::percentEncode(vm), "", body.dump(), true, alwaysTrue,
+        call<bool>("POST", "/balancer/" + http::percentEncode(vm), "", body.dump(), true, acknowledge,
             std::move(callback));
     }
 
 private:
     static constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
 
-    static bool alwaysTrue(const json&) { return true; }
-
-    template <typename T, T (*convert)(const json&)> static std::vector<T> parseItems(const json& value)
-    {
-        std::vector<T> out;
-        for (const auto& item : value.value("items", json::array()))
-            out.push_back(convert(item));
-        return out;
-    }
+    static constexpr ResponseParser<bool> acknowledge = parseResponse<bool, alwaysTrue>;
 
-    template <typename T, typename Convert>
+    template <typename T>
     void call(std::string method, std::string path, std::string query, std::string body, bool isWrite,
-        Convert convert, PlatformCallback<T> callback)
+        ResponseParser<T> parse, PlatformCallback<T> callback)
     {
         HttpRequest request { std::move(method), std::move(path), std::move(query),
             { { "User-Agent", m_context.clientName } }, std::move(body) };
-        auto onResult = [isWrite, convert, callback = std::move(callback)](HttpResult result) {
+        auto onResult = [isWrite, parse, callback = std::move(callback)](HttpResult result) {
             if (!result)
                 return callback(tl::make_unexpected(fromClientError(result.error(), isWrite)));
             if (result->status != 200)
                 return callback(tl::make_unexpected(fromStatus(*result, isWrite)));
-            const auto value = json::parse(result->body, nullptr, false);
-            if (!value.is_object())
-                return callback(tl::make_unexpected(
-                    PlatformError { isWrite ? PlatformFailure::OutcomeUnknown : PlatformFailure::Unavailable,
-                        "malformed response from the platform", "", 0 }));
-            std::optional<T> converted;
-            try {
-                converted = convert(value);
-            } catch (const json::exception&) {
-                // A member has an unexpected type; reported below as a malformed response.
-            }
-            if (!converted)
+            auto parsed = parse(result->body);
+            if (!parsed)
                 return callback(tl::make_unexpected(
                     PlatformError { isWrite ? PlatformFailure::OutcomeUnknown : PlatformFailure::Unavailable,
                         "malformed response from the platform", "", 0 }));
-            callback(std::move(*converted));
+            callback(std::move(*parsed));
         };
         m_httpClient.send(m_context.address, request, m_context.timeout, std::move(onResult));
     }
