Ignore rates that are no numbers and peers listed without a port

A heartbeat may carry any 32-bit float as a rate. With an infinite one the share of slots of every entry VM became inf/inf, which was then converted to an integer (undefined); a negative one takes the demand of others away. And a peer that the platform lists without a valid address was called at 0.0.0.0:0 every retry delay.

Rates that are not finite or are negative count as 0 where heartbeats are decoded; peers with port 0 are left out. Limits on nesting and size of messages were there already (codec.cpp: 16 levels, 16 Ki words), and ports have 16 bits.

Before, on: peer_test, rateThatIsNoNumberCountsAsNone 3 errors, peerListedWithoutAValidAddressIsNotCalled 1 (0 is where the metric stands). Now peer_test passes. The conversion itself was found by reading, not run.

--- a/src/libpeer/codec.cpp
+++ b/src/libpeer/codec.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <kj/io.h>
 
 namespace damask::codec {
@@ -53,6 +54,9 @@
     }
 }
 
+/// The rate, or 0 if it is none.
+float finiteRate(float rate) { return std::isfinite(rate) && rate >= 0 ? rate : 0; }
+
 Heartbeat read(wire::Heartbeat::Reader from, const Digest& digest)
 {
     Heartbeat to;
@@ -70,7 +74,7 @@
     to.age = std::chrono::milliseconds(from.getAgeMs());
     for (auto load : from.getLoads())
         to.loads.push_back(
-            { load.getPool().cStr(), load.getInFlight(), load.getQueued(), load.getArrivals() });
+            { load.getPool().cStr(), load.getInFlight(), load.getQueued(), finiteRate(load.getArrivals()) });
     return to;
 }
 
--- a/src/libpeer/peer_service.cpp
+++ b/src/libpeer/peer_service.cpp
@@ -526,8 +526,10 @@
 void PeerService::setPeers(const std::vector<ListedVm>& peers)
 {
     m_impl->listedAddresses.clear();
-    for (const auto& peer : peers)
-        m_impl->listedAddresses[peer.id] = peer.address;
+    for (const auto& peer : peers) {
+        if (peer.address.port != 0)
+            m_impl->listedAddresses[peer.id] = peer.address;
+    }
 }
 
 void PeerService::setSeeds(const std::vector<Address>& seeds) { m_impl->seeds = seeds; }
--- a/src/libpeer/peer_test.cpp
+++ b/src/libpeer/peer_test.cpp
@@ -1,6 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <damaskworks/peer.h>
+#include <limits>
 #include <random>
 
 using namespace damask;
@@ -57,6 +59,44 @@
     BOOST_TEST(a.service.views().at("b").heartbeat.loads.at(0).queued == 4u);
 }
 
+// Shares of slots are computed from all rates; one that was infinite made all shares undefined.
+BOOST_AUTO_TEST_CASE(rateThatIsNoNumberCountsAsNone)
+{
+    Loop loop;
+    KjLoop kjLoop(loop.base());
+    Node a(loop, "a");
+    Node b(loop, "b");
+    constexpr auto infinity = std::numeric_limits<float>::infinity();
+    b.self.loads = { { "p1", 1, 1, infinity }, { "p2", 1, 1, std::nanf("") }, { "p3", 1, 1, -1.0F },
+        { "p4", 1, 1, 2.5F } };
+    a.service.setPeers({ b.asListedVm() });
+    a.service.tick();
+    BOOST_REQUIRE(loop.runUntil([&] { return a.heartbeatCount == 1; }, 5s));
+    const auto& loads = a.service.views().at("b").heartbeat.loads;
+    BOOST_REQUIRE(loads.size() == 4u);
+    for (std::size_t i = 0; i < 3; ++i)
+        BOOST_TEST(loads[i].arrivals == 0.0F);
+    BOOST_TEST(loads[3].arrivals == 2.5F);
+}
+
+BOOST_AUTO_TEST_CASE(peerListedWithoutAValidAddressIsNotCalled)
+{
+    Loop loop;
+    KjLoop kjLoop(loop.base());
+    Node a(loop, "a");
+    Node b(loop, "b");
+    ListedVm odd;
+    odd.id = "odd";
+    for (int i = 0; i < 20; ++i) {
+        a.service.setPeers({ odd });
+        a.service.tick();
+    }
+    BOOST_TEST(a.metrics.text().find("damask_peer_connections_total") == std::string::npos);
+    a.service.setPeers({ odd, b.asListedVm() });
+    a.service.tick();
+    BOOST_TEST(loop.runUntil([&] { return a.heartbeatCount == 1; }, 5s));
+}
+
 BOOST_AUTO_TEST_CASE(peerOfAnotherClusterIsRefusedAndCounted)
 {
     Loop loop;
