--- a/src/libstore/mirror_test.cpp
+++ b/src/libstore/mirror_test.cpp
@@ -219,3 +219,16 @@
     BOOST_TEST(later.fullReads == 1u);
     BOOST_TEST((valuesByKey(fixture.mirror.rows()) == valuesByKey(later)));
 }
+
+// Every node reads the snapshot when it starts.
+BOOST_AUTO_TEST_CASE(deeplyNestedSnapshotIsMalformed)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const auto* member : { "rows", "other" }) {
+        const auto set = snapshot::decode("{\"format\":1,\"cluster\":\"c\",\"version\":5,\"hash\":\"1\",\""
+                + std::string(member) + "\":" + deep + "}",
+            "c");
+        BOOST_REQUIRE(!set);
+        BOOST_TEST((set.error().failure == snapshot::DecodeFailure::Malformed));
+    }
+}
--- a/src/libstore/snapshot.cpp
+++ b/src/libstore/snapshot.cpp
@@ -1,3 +1,4 @@
+#include <damaskworks/json_input.h>
 #include <damaskworks/snapshot.h>
 
 #include <nlohmann/json.hpp>
@@ -38,7 +39,7 @@
 tl::expected<RowSet, Error> read(const json& value, std::string_view cluster)
 {
     const auto fail = [](DecodeFailure failure) { return tl::make_unexpected(Error { failure }); };
-    if (value.at("format").get<int>() != formatVersion)
+    if (value.at("format") != formatVersion)
         return fail(DecodeFailure::UnknownFormat);
     if (value.at("cluster").get<std::string>() != cluster)
         return fail(DecodeFailure::ForeignCluster);
@@ -63,7 +64,7 @@
 
 tl::expected<RowSet, Error> decode(std::string_view text, std::string_view cluster)
 {
-    const auto value = json::parse(text, nullptr, false);
+    const auto value = parseJson(text);
     if (!value.is_object())
         return tl::make_unexpected(Error { DecodeFailure::Malformed });
     try {
