Report an odd response of a server as a failure of damaskctl

A response with a missing member or one of another type ended damaskctl with a signal (exit code 134) and no word about the server; deeply nested ones with 139, as did a deeply nested spec in a file. A wave with more VMs done than there are made a progress bar of a negative length (std::length_error).

Cause: operator[] of constant JSON objects, which is undefined for a missing member, implicit conversions that throw, and copies of deep values. Responses and specs are parsed with the limit on nesting, members are read with at(), and the one place that runs a command reports the exception with exit code 1; a watch reports the line and goes on. The bar is bounded.

Now badinput_test passes.

--- a/src/damaskctl/commands.cpp
+++ b/src/damaskctl/commands.cpp
@@ -1,8 +1,10 @@
 #include "commands_pvt.h"
 
+#include <damaskworks/json_input.h>
 #include <damaskworks/names.h>
 #include <damaskworks/resource.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -87,7 +89,7 @@
                 m_options.timeout, [&](HttpResult received) { result = std::move(received); });
             m_loop.runUntil([&] { return result.has_value(); }, m_options.timeout * 2);
             if (result && *result)
-                return { (*result)->status, json::parse((*result)->body, nullptr, false) };
+                return { (*result)->status, parseJson((*result)->body) };
             const bool mayHaveRun = !result || result->error().mayHaveBeenSent;
             if (mayHaveRun && method != "GET") {
                 response.body = { { "error", "no response: the change may or may not have taken effect" } };
@@ -105,6 +107,11 @@
     HttpClient m_client;
 };
 
+std::string unexpectedResponse(const json::exception& error)
+{
+    return std::string("the server sent an unexpected response: ") + error.what();
+}
+
 /// Prints the error in \p response; returns the exit code.
 int reportFailure(const Response& response)
 {
@@ -116,7 +123,7 @@
         std::cerr << "  " << field.value("field", "") << ": value " << field.value("value", "")
                   << "; allowed: " << field.value("allowed", "") << "\n";
     if (response.body.contains("presentVersion"))
-        std::cerr << "  current resourceVersion: " << response.body["presentVersion"] << "\n";
+        std::cerr << "  current resourceVersion: " << response.body.at("presentVersion") << "\n";
     return exitCodeFor(response.status);
 }
 
@@ -140,7 +147,7 @@
 std::optional<json> readSpec(const Options& options)
 {
     if (options.file.empty())
-        return json::parse(options.spec.empty() ? "{}" : options.spec, nullptr, false);
+        return parseJson(options.spec.empty() ? "{}" : options.spec);
     std::stringstream text;
     if (options.file == "-") {
         text << std::cin.rdbuf();
@@ -150,7 +157,7 @@
             return std::nullopt;
         text << file.rdbuf();
     }
-    return json::parse(text.str(), nullptr, false);
+    return parseJson(text.str());
 }
 
 std::string pathFor(Kind kind, const std::string& name = "")
@@ -192,7 +199,8 @@
     const auto response = client.call("GET", pathFor(kind));
     if (response.status != 200)
         return reportFailure(response);
-    std::cout << (options.printsJson ? response.body.dump(2) + "\n" : resourceTable(response.body["items"]));
+    std::cout << (options.printsJson ? response.body.dump(2) + "\n"
+                                     : resourceTable(response.body.at("items")));
     return Ok;
 }
 
@@ -206,7 +214,7 @@
     auto current = client.call("GET", pathFor(kind, name));
     if (current.status != 200)
         return tl::make_unexpected(current);
-    return current.body["resourceVersion"].get<std::uint64_t>();
+    return current.body.at("resourceVersion").get<std::uint64_t>();
 }
 
 int replace(Client& client, Kind kind, const std::string& name, const Options& options)
@@ -251,14 +259,15 @@
 std::string progressLine(const json& wave)
 {
     constexpr int width = 30;
-    const auto& status = wave["status"];
-    const int total = status.value("total", 0);
-    const int done = status.value("done", 0);
-    const int filled = total > 0 ? width * done / total : 0;
+    const auto& status = wave.at("status");
+    const auto total = status.value("total", std::uint64_t { 0 });
+    const auto done = status.value("done", std::uint64_t { 0 });
+    const double doneShare = total > 0 ? static_cast<double>(done) / static_cast<double>(total) : 0;
+    const int filled = static_cast<int>(width * std::min(doneShare, 1.0));
     const std::string bar = std::string(static_cast<std::size_t>(filled), '#')
         + std::string(static_cast<std::size_t>(width - filled), '.');
     std::string line = "[" + bar + "] " + std::to_string(done) + "/" + std::to_string(total);
-    line += " failed=" + std::to_string(status.value("failed", 0));
+    line += " failed=" + std::to_string(status.value("failed", std::uint64_t { 0 }));
     line += " phase=" + status.value("phase", "waiting");
     for (const auto& condition : status.value("conditions", json::array()))
         line += " (" + (condition.is_string() ? condition.get<std::string>() : condition.dump()) + ")";
@@ -267,7 +276,7 @@
 
 bool hasEnded(const json& wave)
 {
-    const auto phase = wave["status"].value("phase", "");
+    const auto phase = wave.at("status").value("phase", "");
     return phase == "finished" || phase == "cancelled" || phase == "failed";
 }
 
@@ -284,7 +293,7 @@
             std::cout << line << std::endl;
         lastLine = line;
         if (hasEnded(response.body))
-            return response.body["status"]["phase"] == "finished" ? Ok : Failure;
+            return response.body.at("status").at("phase") == "finished" ? Ok : Failure;
         client.loop().runUntil([] { return false; }, refreshPeriod);
     }
 }
@@ -299,10 +308,10 @@
         return Ok;
     }
     std::vector<std::vector<std::string>> rows { { "NODE", "DATA CENTRE", "GENERATION", "HEARD MS AGO" } };
-    for (const auto& node : response.body["nodes"])
-        rows.push_back(
-            { node["node"], node["dataCentre"], node["generation"].dump(), node["lastHeardMs"].dump() });
-    std::cout << "configuration generation " << response.body["generation"] << "\n" << formatTable(rows);
+    for (const auto& node : response.body.at("nodes"))
+        rows.push_back({ node.at("node"), node.at("dataCentre"), node.at("generation").dump(),
+            node.at("lastHeardMs").dump() });
+    std::cout << "configuration generation " << response.body.at("generation") << "\n" << formatTable(rows);
     return Ok;
 }
 
@@ -322,9 +331,9 @@
             continue;
         }
         const auto& body = response.body;
-        rows.push_back({ http::toString(server), body["node"], body["dataCentre"],
-            body["ready"] == true ? "yes" : "no: " + body["reason"].get<std::string>(),
-            body["configurationGeneration"].dump(), body["tableAgeMs"].dump() });
+        rows.push_back({ http::toString(server), body.at("node"), body.at("dataCentre"),
+            body.at("ready") == true ? "yes" : "no: " + body.at("reason").get<std::string>(),
+            body.at("configurationGeneration").dump(), body.at("tableAgeMs").dump() });
     }
     std::cout << formatTable(rows);
     return code;
@@ -365,9 +374,19 @@
             [this](int code) { onStreamEnded(code); });
     }
 
+    /// The event loop is in C, so that no exception may leave this function.
     void onLine(std::string_view line)
     {
-        const auto event = json::parse(line, nullptr, false);
+        try {
+            onEvent(line);
+        } catch (const json::exception& error) {
+            std::cerr << unexpectedResponse(error) << "\n";
+        }
+    }
+
+    void onEvent(std::string_view line)
+    {
+        const auto event = parseJson(line);
         if (!event.is_object())
             return;
         m_consecutiveFailures = 0;
@@ -379,7 +398,7 @@
             return;
         }
         if (event.contains("version"))
-            m_since = std::max(m_since, event["version"].get<std::uint64_t>());
+            m_since = std::max(m_since, event.at("version").get<std::uint64_t>());
         if (!event.contains("kind") || m_hasReachedLimit)
             return;
         print(event);
@@ -396,9 +415,9 @@
             return;
         }
         const auto part = event.value("part", "");
-        std::cout << event["version"] << " " << event.value("type", "") << " " << event.value("kind", "")
+        std::cout << event.at("version") << " " << event.value("type", "") << " " << event.value("kind", "")
                   << "/" << event.value("name", "") << " " << part << " "
-                  << (event.contains(part) ? event[part].dump() : "") << std::endl;
+                  << (event.contains(part) ? event.at(part).dump() : "") << std::endl;
     }
 
     void onStreamEnded(int code)
@@ -460,7 +479,9 @@
     return out;
 }
 
-int run(const std::vector<std::string>& commandLine, const Options& options)
+namespace {
+
+int runCommand(const std::vector<std::string>& commandLine, const Options& options)
 {
     if (commandLine.empty())
         return reportUsageError("", "a command is required");
@@ -505,4 +526,16 @@
     return remove(client, *kind, commandLine[2], options);
 }
 
+} // namespace
+
+int run(const std::vector<std::string>& commandLine, const Options& options)
+{
+    try {
+        return runCommand(commandLine, options);
+    } catch (const json::exception& error) {
+        std::cerr << unexpectedResponse(error) << "\n";
+        return Failure;
+    }
+}
+
 } // namespace damask::ctl
--- a/src/damaskctl/table.cpp
+++ b/src/damaskctl/table.cpp
@@ -49,8 +49,8 @@
         }
     };
     for (const auto& item : items) {
-        collectFields(item["spec"], specFields);
-        collectFields(item["status"], statusFields);
+        collectFields(item.at("spec"), specFields);
+        collectFields(item.at("status"), statusFields);
     }
     std::vector<std::vector<std::string>> rows { { "NAME", "VERSION" } };
     for (const auto& field : specFields)
@@ -58,11 +58,11 @@
     for (const auto& field : statusFields)
         rows[0].push_back("status." + field);
     for (const auto& item : items) {
-        std::vector<std::string> row { item["name"], item["resourceVersion"].dump() };
+        std::vector<std::string> row { item.at("name"), item.at("resourceVersion").dump() };
         for (const auto& field : specFields)
-            row.push_back(item["spec"].contains(field) ? cellText(item["spec"][field]) : "");
+            row.push_back(item.at("spec").contains(field) ? cellText(item.at("spec").at(field)) : "");
         for (const auto& field : statusFields)
-            row.push_back(item["status"].contains(field) ? cellText(item["status"][field]) : "");
+            row.push_back(item.at("status").contains(field) ? cellText(item.at("status").at(field)) : "");
         rows.push_back(std::move(row));
     }
     return formatTable(rows);
