--- a/src/damaskd/api.cpp
+++ b/src/damaskd/api.cpp
@@ -1,5 +1,6 @@
 #include "api_pvt.h"
 
+#include <damaskworks/json_input.h>
 #include <damaskworks/move.h>
 #include <damaskworks/registry.h>
 
@@ -59,9 +60,9 @@
 std::optional<json> parseBody(
     const std::shared_ptr<HttpExchange>& exchange, std::initializer_list<std::string_view> allowed)
 {
-    auto body = json::parse(exchange->request().body, nullptr, false);
+    auto body = parseJson(exchange->request().body);
     if (!body.is_object()) {
-        replyError(exchange, 400, "the body is not a JSON object");
+        replyError(exchange, 400, "the body is not a JSON object, or it nests too deeply");
         return std::nullopt;
     }
     for (const auto& [name, value] : body.items()) {
