Report port 0 in settings that name an address to connect to

Port 0 is a free port where a daemon listens, and is still allowed there; elsewhere the setting is now reported with its value and what is allowed. Numbers out of range (--lease_ms=) and ports above 65535 were reported already; the test covers them too.

--- a/src/damaskctl/main.cpp
+++ b/src/damaskctl/main.cpp
@@ -34,10 +34,10 @@
     std::stringstream servers(absl::GetFlag(FLAGS_server));
     for (std::string server; std::getline(servers, server, ',');) {
         const auto address = http::parseAddress(server);
-        if (address)
+        if (address && address->port != 0)
             options.servers.push_back(*address);
         else
-            errors.push_back({ "--server", server, "ip:port" });
+            errors.push_back({ "--server", server, "ip:port with a port from 1 to 65535" });
     }
     const auto output = absl::GetFlag(FLAGS_output);
     if (output != "table" && output != "json")
--- a/src/damaskd/daemon_settings.cpp
+++ b/src/damaskd/daemon_settings.cpp
@@ -61,11 +61,21 @@
     return value;
 }
 
-Address checkAddress(std::string_view setting, const std::string& value, Errors& errors)
+/// An address to listen on; port 0 takes a free port.
+Address checkListenAddress(std::string_view setting, const std::string& value, Errors& errors)
 {
     auto address = http::parseAddress(value);
     if (!address)
-        errors.push_back({ std::string(setting), value, "ip:port" });
+        errors.push_back({ std::string(setting), value, "ip:port with a port from 0 to 65535" });
+    return address.value_or(Address {});
+}
+
+/// An address to connect to.
+Address checkAddress(std::string_view setting, const std::string& value, Errors& errors)
+{
+    auto address = http::parseAddress(value);
+    if (!address || address->port == 0)
+        errors.push_back({ std::string(setting), value, "ip:port with a port from 1 to 65535" });
     return address.value_or(Address {});
 }
 
@@ -109,9 +119,9 @@
     out.node = checkName("node", absl::GetFlag(FLAGS_node), errors);
     out.cluster = checkName("cluster", absl::GetFlag(FLAGS_cluster), errors);
     out.dataCentre = checkName("data_centre", absl::GetFlag(FLAGS_data_centre), errors);
-    out.listen = checkAddress("listen", absl::GetFlag(FLAGS_listen), errors);
-    out.adminListen = checkAddress("admin_listen", absl::GetFlag(FLAGS_admin_listen), errors);
-    out.peerListen = checkAddress("peer_listen", absl::GetFlag(FLAGS_peer_listen), errors);
+    out.listen = checkListenAddress("listen", absl::GetFlag(FLAGS_listen), errors);
+    out.adminListen = checkListenAddress("admin_listen", absl::GetFlag(FLAGS_admin_listen), errors);
+    out.peerListen = checkListenAddress("peer_listen", absl::GetFlag(FLAGS_peer_listen), errors);
     if (!absl::GetFlag(FLAGS_peer_advertise).empty())
         out.peerAdvertise = checkAddress("peer_advertise", absl::GetFlag(FLAGS_peer_advertise), errors);
     out.peers = checkAddresses("peers", absl::GetFlag(FLAGS_peers), errors);
--- a/testsuite/badinput/settings_test.cpp
+++ b/testsuite/badinput/settings_test.cpp
@@ -30,6 +30,22 @@
         BOOST_TEST(contains(result.output, setting), setting << " is missing in:\n" << result.output);
 }
 
+// Nothing can be reached at port 0; a daemon without a platform ran, but never became ready.
+BOOST_AUTO_TEST_CASE(numbersAndPortsOutOfRangeAreReported)
+{
+    const auto result
+        = runCommand({ binary("damaskd"), "--node=a", "--data_centre=east", "--platform=127.0.0.1:0",
+            "--peers=127.0.0.1:1,127.0.0.1:0", "--peer_advertise=127.0.0.1:65536", "--listen=127.0.0.1:65536",
+            "--lease_ms=99999999999", "--poll_period_ms=-1", "--stop_timeout_ms=1e300" });
+    BOOST_TEST(result.exitCode == 2);
+    for (auto setting : { "setting platform: value '127.0.0.1:0'", "setting peers: value '127.0.0.1:0'",
+             "setting peer_advertise: value '127.0.0.1:65536'", "setting listen: value '127.0.0.1:65536'",
+             "setting --lease_ms: value '99999999999'", "setting poll_period_ms: value '-1'",
+             "setting --stop_timeout_ms: value '1e300'" })
+        BOOST_TEST(contains(result.output, setting), setting << " is missing in:\n" << result.output);
+    BOOST_TEST(runCommand({ binary("damaskctl"), "list", "pools", "--server=127.0.0.1:0" }).exitCode == 2);
+}
+
 BOOST_AUTO_TEST_CASE(flagOverridesEnvironment)
 {
     const auto result = runCommand({ binary("damaskd"), "--print_settings", "--node=a", "--data_centre=east",
