Bound the demand of a pool from very large jobs

A caller may submit a job of 100,000 tasks of 10^9 thousandths of a core with estimates of 10^12 ms. Their work overflowed 64 bits when the holder summed the pool's load: with three such jobs waitingWork was negative, so the coordinator took the pool for one without demand. The conversion of their arrival rate to an integer is undefined.

Sums and conversions are done in double and bounded by maxPoolLoad, which decodeLoad() uses too; the results are the same below 2^53. Ruled out: the limits of single members, which keep cpu * count within 64 bits.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -16,6 +16,9 @@
 
 namespace damask::fleet {
 
+/// Bound of each amount of CPU or work in a PoolLoad. Sums of a few of them fit into 64 bits.
+inline constexpr std::int64_t maxPoolLoad = 1'000'000'000'000'000'000;
+
 /// Load of a pool, as its holder reports it to the coordinator.
 struct PoolLoad {
     /// Needed by ready tasks that no VM runs, without long-running and overdue ones.
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -11,8 +11,7 @@
 
 using nlohmann::json;
 
-/// Thousandths of a core, or core-milliseconds, of a pool. Sums of a few of them fit into 64 bits.
-constexpr IntegerRange loadRange { 0, 1'000'000'000'000'000'000 };
+constexpr IntegerRange loadRange { 0, maxPoolLoad };
 constexpr IntegerRange countRange { 0, 1'000'000 };
 
 bool isStandby(const FleetState& state, const std::string& pool)
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -53,6 +53,14 @@
     return out;
 }
 
+/// \p amount as part of a load: whole, and at most maxPoolLoad.
+std::int64_t boundLoad(double amount)
+{
+    return static_cast<std::int64_t>(std::min(amount, static_cast<double>(maxPoolLoad)));
+}
+
+void addLoad(std::int64_t& sum, double amount) { sum = boundLoad(static_cast<double>(sum) + amount); }
+
 /// Adds the waiting tasks of an occurrence's ready steps to the load.
 void addWaitingTasks(const std::vector<Resources>& rooms, PoolLoad& load, const JobEntry& job,
     const OccurrenceState& occurrence, bool isOverdue)
@@ -66,18 +74,19 @@
             load.minMachines = std::max(load.minMachines, (step.count + step.maxPerVm - 1) / step.maxPerVm);
         const auto waiting = std::count_if(
             tasks.begin(), tasks.end(), [](const TaskState& task) { return !task.done && !task.run; });
-        const auto cpu = reservedBy(step).cpu * waiting;
+        const auto cpu = static_cast<double>(reservedBy(step).cpu * waiting);
         if (step.longRunning) {
-            load.waitingServingCpu += cpu;
+            addLoad(load.waitingServingCpu, cpu);
             continue;
         }
-        (isOverdue ? load.overdueCpu : load.waitingCpu) += cpu;
+        addLoad(isOverdue ? load.overdueCpu : load.waitingCpu, cpu);
         const auto need = reservedBy(step);
         const bool fitsSomewhere = std::any_of(
             rooms.begin(), rooms.end(), [&](const Resources& room) { return fits(need, room); });
         if (!fitsSomewhere)
-            load.unfitCpu += cpu;
-        (isOverdue ? load.overdueWork : load.waitingWork) += cpu * step.estimate.count() / 1000;
+            addLoad(load.unfitCpu, cpu);
+        addLoad(isOverdue ? load.overdueWork : load.waitingWork,
+            cpu * static_cast<double>(step.estimate.count()) / 1000);
     }
 }
 
@@ -104,13 +113,13 @@
     const double earlierRate = work[1] / static_cast<double>(window.count());
     const int jobGrowth = jobs[0] - jobs[1];
     if (jobGrowth <= 0 || rate <= earlierRate)
-        return static_cast<std::int64_t>(rate);
+        return boundLoad(rate);
     const double standardError = std::sqrt(static_cast<double>(jobs[0] + jobs[1]));
     const double confidence = std::max(0.0, 1 - standardError / (2 * jobGrowth));
     const double horizonWindows
         = static_cast<double>(state.limits.forecastHorizon.count()) / static_cast<double>(window.count());
     const double forecast = rate + (rate - earlierRate) * confidence * horizonWindows;
-    return static_cast<std::int64_t>(std::min(forecast, rate * maxForecastGrowth));
+    return boundLoad(std::min(forecast, rate * maxForecastGrowth));
 }
 
 /// Machines that run tasks. A machine that has come back has two VMs here until the registration of the
@@ -148,8 +157,9 @@
     const auto batchCpu = load.usedCpu - load.servingCpu;
     const auto growth = batchCpu / 2;
     load.arrivingCpu = std::min(load.arrivingCpu, batchCpu);
-    load.waitingWork
-        = load.waitingCpu > growth ? load.waitingWork * growth / load.waitingCpu : load.waitingWork;
+    if (load.waitingCpu > growth)
+        load.waitingWork = boundLoad(static_cast<double>(load.waitingWork) * static_cast<double>(growth)
+            / static_cast<double>(load.waitingCpu));
     load.waitingCpu = std::min(load.waitingCpu, growth);
     load.overdueCpu = load.overdueWork = 0;
 }
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -419,6 +419,25 @@
     BOOST_TEST(computeLoad(state, clock.now(), wallNow).unfitCpu == 0);
 }
 
+// The work of such jobs, which callers may submit, overflowed 64 bits, and the pool's demand became negative.
+BOOST_AUTO_TEST_CASE(demandOfTheLargestJobsIsBounded)
+{
+    auto step = makeStep(100'000, 1'000'000'000);
+    step.estimate = milliseconds(1'000'000'000'000);
+    for (int i = 0; i < 3; ++i) {
+        submit("j" + std::to_string(i), { step });
+        recordArrival(state, makeJob("j" + std::to_string(i), { step }), clock.now());
+    }
+    for (const bool isLimited : { false, true }) {
+        state.areStartsLimited = isLimited;
+        const auto load = computeLoad(state, clock.now(), wallNow);
+        BOOST_TEST(load.waitingCpu >= 0);
+        BOOST_TEST(load.arrivingCpu >= 0);
+        BOOST_TEST(load.waitingWork == (isLimited ? 0 : 1'000'000'000'000'000'000));
+        BOOST_TEST((decodeLoad(encodeLoad(load)) == load));
+    }
+}
+
 // Every node reads the rows of states and of machine tasks. A value of another type threw an exception that
 // no one caught, so one such row ended all nodes.
 BOOST_AUTO_TEST_CASE(recordsWithValuesOfAnotherTypeAreReadAsMalformed)
