--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -50,7 +50,8 @@
         || std::find(vm.entry.labels.begin(), vm.entry.labels.end(), label) != vm.entry.labels.end();
 }
 
-/// Number of runs of the task's step and occurrence on the VM.
+} // namespace
+
 int countSiblings(const VmState& vm, const TaskId& id)
 {
     auto first = vm.runs.lower_bound({ id.job, id.occurrence, id.step, 0 });
@@ -63,6 +64,8 @@
     return count;
 }
 
+namespace {
+
 /// Remaining validity that a ticket needs, so that the command arrives before it expires.
 constexpr milliseconds ticketSafetyMargin { 100 };
 
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -15,6 +15,8 @@
 bool canStillHost(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
 
+/// Number of runs of the task's step and occurrence on the VM.
+int countSiblings(const VmState& vm, const TaskId& id);
 /// Whether the VM accepts starts, perhaps only those of trials.
 bool isAvailable(const VmState& vm, TimePoint now);
 /// Whether the VM may run the task, whatever room it has. \p reservedSiblings: tasks of the step that have a
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -56,10 +56,16 @@
         markStopping(*task.run, now);
 }
 
+/// Room on a VM beside its long-running tasks.
+struct Room {
+    const VmState* vm = nullptr;
+    Resources free;
+};
+
 /// Resources beside the long-running tasks on each VM that accepts work; other tasks end soon.
-std::vector<Resources> roomBesideLongRunning(const PoolState& state)
+std::vector<Room> roomBesideLongRunning(const PoolState& state)
 {
-    std::vector<Resources> out;
+    std::vector<Room> out;
     for (const auto& [name, vm] : state.vms) {
         if (!vm.isRegistered || !vm.hasReported || vm.isUnresponsive || vm.isEvacuating || vm.entry.draining)
             continue;
@@ -69,21 +75,21 @@
             if (step.longRunning)
                 room -= reservedBy(step);
         }
-        out.push_back(room);
+        out.push_back({ &vm, room });
     }
     return out;
 }
 
-/// A figure of a load. Callers choose the numbers that it is computed from, and their product may exceed 64
-/// bits; the limit leaves room for sums over all pools.
-std::int64_t limitedLoad(double value)
+/// \p amount as part of a load: whole, and at most maxPoolLoad.
+std::int64_t boundLoad(double amount)
 {
-    constexpr double most = 1e15;
-    return static_cast<std::int64_t>(std::min(value, most));
+    return static_cast<std::int64_t>(std::min(amount, static_cast<double>(maxPoolLoad)));
 }
 
+void addLoad(std::int64_t& sum, double amount) { sum = boundLoad(static_cast<double>(sum) + amount); }
+
 /// Adds the waiting tasks of an occurrence's ready steps to the load.
-void addWaitingTasks(const std::vector<Resources>& rooms, PoolLoad& load, const JobEntry& job,
+void addWaitingTasks(const std::vector<Room>& rooms, PoolLoad& load, const JobEntry& job,
     const OccurrenceState& occurrence, bool isOverdue)
 {
     for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
@@ -95,20 +101,19 @@
             load.minMachines = std::max(load.minMachines, (step.count + step.maxPerVm - 1) / step.maxPerVm);
         const auto waiting = std::count_if(
             tasks.begin(), tasks.end(), [](const TaskState& task) { return !task.done && !task.run; });
-        const auto cpu = reservedBy(step).cpu * waiting;
+        const auto cpu = static_cast<double>(reservedBy(step).cpu * waiting);
         if (step.longRunning) {
-            load.waitingServingCpu += cpu;
+            addLoad(load.waitingServingCpu, cpu);
             continue;
         }
-        (isOverdue ? load.overdueCpu : load.waitingCpu) += cpu;
+        addLoad(isOverdue ? load.overdueCpu : load.waitingCpu, cpu);
         const auto need = reservedBy(step);
         const bool fitsSomewhere = std::any_of(
-            rooms.begin(), rooms.end(), [&](const Resources& room) { return fits(need, room); });
+            rooms.begin(), rooms.end(), [&](const Room& room) { return fits(need, room.free); });
         if (!fitsSomewhere)
-            load.unfitCpu += cpu;
-        auto& work = isOverdue ? load.overdueWork : load.waitingWork;
-        const auto added = static_cast<double>(cpu) * static_cast<double>(step.estimate.count()) / 1000;
-        work = limitedLoad(static_cast<double>(work) + added);
+            addLoad(load.unfitCpu, cpu);
+        addLoad(isOverdue ? load.overdueWork : load.waitingWork,
+            cpu * static_cast<double>(step.estimate.count()) / 1000);
     }
 }
 
@@ -133,37 +138,60 @@
     return out;
 }
 
-/// Machines that are missing for the long-running tasks without a place, by first fit into \p rooms, the room
-/// beside other long-running tasks. Memory may run out before CPU does.
-int missingServingMachines(const PoolState& state, std::vector<Resources> rooms)
+/// Number of tasks that \p free has room for, at most \p most.
+std::int64_t countFitting(Resources free, const Resources& need, std::int64_t most)
+{
+    std::int64_t count = 0;
+    for (; count < most && fits(need, free); ++count)
+        free -= need;
+    return count;
+}
+
+/// Machines that are missing for \p tasks tasks of the step, all without a place. Takes the room that they
+/// get.
+std::int64_t missingMachines(std::vector<Room>& rooms, const StepSpec& step, const StepId& id,
+    std::int64_t tasks, const Resources& machine)
+{
+    const auto need = reservedBy(step);
+    const std::int64_t mostPerVm = step.maxPerVm > 0 ? step.maxPerVm : tasks;
+    for (auto& room : rooms) {
+        const int siblings
+            = step.maxPerVm > 0 ? countSiblings(*room.vm, { id.job, id.occurrence, id.step, 0 }) : 0;
+        const auto placed = countFitting(room.free, need, std::min(tasks, mostPerVm - siblings));
+        for (std::int64_t i = 0; i < placed; ++i)
+            room.free -= need;
+        tasks -= placed;
+        if (tasks == 0)
+            return 0;
+    }
+    const auto perMachine = countFitting(machine, need, std::min(tasks, mostPerVm));
+    return perMachine == 0 ? 0 : (tasks + perMachine - 1) / perMachine;
+}
+
+/// Machines that are missing for the long-running tasks without a place, by first fit. Memory may run out
+/// before CPU does.
+int missingServingMachines(const PoolState& state, std::vector<Room> rooms)
 {
-    const auto capacity = largestCapacity(state);
-    int missing = 0;
+    constexpr std::int64_t most = 1'000'000; // sums over all pools fit into an int
+    const auto machine = largestCapacity(state);
+    std::int64_t missing = 0;
     for (const auto& [id, job] : state.jobs) {
         if (isFinal(job.state))
             continue;
         for (const auto& [number, occurrence] : job.occurrences) {
             for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
                 const auto& step = stepOf(job, s);
-                const auto need = reservedBy(step);
-                if (!step.longRunning || !isStepReady(job, occurrence, s) || !fits(need, capacity))
+                if (!step.longRunning || !isStepReady(job, occurrence, s))
                     continue;
-                for (const auto& task : occurrence.steps[static_cast<std::size_t>(s)].tasks) {
-                    if (!lacksPlace(state, task))
-                        continue;
-                    auto room = std::find_if(rooms.begin(), rooms.end(),
-                        [&](const Resources& candidate) { return fits(need, candidate); });
-                    if (room == rooms.end()) {
-                        rooms.push_back(capacity);
-                        room = std::prev(rooms.end());
-                        ++missing;
-                    }
-                    *room -= need;
-                }
+                const auto& tasks = occurrence.steps[static_cast<std::size_t>(s)].tasks;
+                const auto lacking = std::count_if(tasks.begin(), tasks.end(),
+                    [&](const TaskState& task) { return lacksPlace(state, task); });
+                if (lacking > 0)
+                    missing += missingMachines(rooms, step, { id, number, s }, lacking, machine);
             }
         }
     }
-    return missing;
+    return static_cast<int>(std::min(missing, most));
 }
 
 /// Largest factor by which a rate is forecast to grow. Demand can rise within seconds, but machines moved for
@@ -189,13 +217,13 @@
     const double earlierRate = work[1] / static_cast<double>(window.count());
     const int jobGrowth = jobs[0] - jobs[1];
     if (jobGrowth <= 0 || rate <= earlierRate)
-        return limitedLoad(rate);
+        return boundLoad(rate);
     const double standardError = std::sqrt(static_cast<double>(jobs[0] + jobs[1]));
     const double confidence = std::max(0.0, 1 - standardError / (2 * jobGrowth));
     const double horizonWindows
         = static_cast<double>(state.limits.forecastHorizon.count()) / static_cast<double>(window.count());
     const double forecast = rate + (rate - earlierRate) * confidence * horizonWindows;
-    return limitedLoad(std::min(forecast, rate * maxForecastGrowth));
+    return boundLoad(std::min(forecast, rate * maxForecastGrowth));
 }
 
 /// Machines that run tasks. A machine that has come back has two VMs here until the registration of the
@@ -234,7 +262,7 @@
     const auto growth = batchCpu / 2;
     load.arrivingCpu = std::min(load.arrivingCpu, batchCpu);
     if (load.waitingCpu > growth)
-        load.waitingWork = limitedLoad(static_cast<double>(load.waitingWork) * static_cast<double>(growth)
+        load.waitingWork = boundLoad(static_cast<double>(load.waitingWork) * static_cast<double>(growth)
             / static_cast<double>(load.waitingCpu));
     load.waitingCpu = std::min(load.waitingCpu, growth);
     load.overdueCpu = load.overdueWork = 0;
