Mend what the review of reservations and recovery found

- a task could take the VM that was reserved for another of its step, whose reservation then stayed on a VM that can't take it: reserved siblings count against maxPerVm, a task prefers its own reservation, and a reservation is dropped once its VM may not run the task;
- machines under maintenance counted as present, so the demand for long-running tasks vanished with the command;
- eight tasks that fit nowhere used up the reservations of each pass: a step that found no VM is skipped for the rest of the pass;
- the pass that takes machines from pools with a peak could strip one: the largest gives first, and each keeps its minimum and one;
- after a takeover all tasks of VMs that had not reported yet counted as lacking machines;
- a task was stopped for a VM that was on trial;
- one list of machines that lacked a VM ended the wait for it after a takeover, so its tasks could have run twice: two in a row are needed.

Not built: a wave still prefers machines with few runs, so also reserved ones; a task waits for the VM chosen first also when another is free.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -133,6 +133,7 @@
     int machineCount = 0; ///< machines in the pool or moving to it
     int mustStayCount = 0; ///< of these, those with long-running tasks or without a report
     int servingMachines = 0; ///< required by long-running tasks alone
+    int minMachines = 0; ///< kept also when long-running tasks of other pools lack machines
     int requiredMachines = 0; ///< without overdue work
     int machinesForOverdueWork = 0; ///< further machines
     std::vector<const Machine*> removable; ///< machines that may be moved away, least loaded first
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -17,7 +17,8 @@
     PoolState& state, TimePoint now, WallTime wallNow, int maxStarts = std::numeric_limits<int>::max());
 
 /// Applies a list of the pool's VMs, requested after the takeover. VMs that only a later list contains joined
-/// since, so no earlier holder has used them.
+/// since, so no earlier holder has used them. One that two lists in a row lack is gone: a list is read page
+/// by page and may lack a VM whose machine changes its pool meanwhile.
 void applyPlatformVms(PoolState& state, std::set<std::string> vms);
 
 /// Whether every run that an earlier holder started is known or has ended, so that the tasks of recovered
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -285,6 +285,7 @@
     /// VMs that an earlier holder may have used, according to the platform; the registry may lack some of
     /// them for a while after an outage. Empty optional: the platform has not responded yet.
     std::optional<std::set<std::string>> platformVms;
+    std::set<std::string> omittedPlatformVms; ///< of platformVms, those that the last list lacked
     std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
     /// Room for long-running tasks that wait or have to leave their VM. Without it, shorter and smaller tasks
     /// take each bit of room that becomes free on a full VM.
--- a/src/libscheduler/fleet_moves.cpp
+++ b/src/libscheduler/fleet_moves.cpp
@@ -73,13 +73,15 @@
     PoolDemand demand { .name = pool };
     const auto load = state.loads.find(pool);
     int upMachines = 0;
-    int leavingCount = 0; ///< machines without long-running tasks that are evacuated for maintenance
+    int leavingCount = 0; ///< machines in maintenance, or evacuated for it and without long-running tasks
     for (const auto& [id, machine] : state.machines) {
         const auto task = state.tasks.find(id);
         const bool isMoving = task != state.tasks.end() && task->second.action == MachineAction::Move;
         // A machine that has crashed or been removed may never return.
         if (isMoving || machine.state != MachineState::Down)
             demand.machineCount += (isMoving ? task->second.toPool : machine.pool) == pool;
+        if (machine.pool == pool && !isMoving && machine.state == MachineState::Maintenance)
+            ++leavingCount;
         if (machine.pool != pool || machine.state != MachineState::Up)
             continue;
         ++upMachines;
@@ -93,7 +95,7 @@
     const bool isLoadKnown = load != state.loads.end();
     const bool lostAllMachines = isLoadKnown && hasLostAllMachines(load->second, upMachines);
     if (!isLoadKnown || (!lostAllMachines && (upMachines == 0 || load->second.workingMachines == 0))) {
-        demand.servingMachines = demand.requiredMachines = demand.machineCount;
+        demand.servingMachines = demand.minMachines = demand.requiredMachines = demand.machineCount;
         return demand;
     }
     const double cpuPerMachine = lostAllMachines
@@ -101,7 +103,7 @@
         : static_cast<double>(load->second.capacityCpu) / load->second.workingMachines;
     if (cpuPerMachine <= 0) {
         // The size of a machine is unknown.
-        demand.servingMachines = demand.requiredMachines = demand.machineCount;
+        demand.servingMachines = demand.minMachines = demand.requiredMachines = demand.machineCount;
         return demand;
     }
     const auto runCount = [&](const Machine* machine) {
@@ -115,6 +117,8 @@
     const int emptyMachines = machinesFor(static_cast<double>(load->second.unfitCpu), cpuPerMachine);
     demand.servingMachines = demand.mustStayCount + load->second.missingServingMachines
         + (load->second.missingServingMachines > 0 ? leavingCount : 0);
+    demand.minMachines
+        = std::max({ demand.servingMachines, load->second.minMachines, limits.minIdleMachines });
     demand.requiredMachines = std::max({ machinesForCpu, demand.mustStayCount + emptyMachines,
                                   load->second.minMachines, demand.servingMachines })
         + limits.minIdleMachines;
@@ -198,7 +202,13 @@
     std::vector<MachineTask> out;
     // Long-running tasks first: their users notice any time without them.
     fillPools(state, &PoolDemand::servingMachines, &PoolDemand::requiredMachines, pools, standby, out);
-    fillPools(state, &PoolDemand::servingMachines, &PoolDemand::servingMachines, pools, standby, out);
+    // The pools with the most machines beyond their minimum give first.
+    std::stable_sort(pools.begin(), pools.end(), [](const PoolDemand& a, const PoolDemand& b) {
+        return a.machineCount - a.minMachines > b.machineCount - b.minMachines;
+    });
+    fillPools(state, &PoolDemand::servingMachines, &PoolDemand::minMachines, pools, standby, out);
+    std::sort(
+        pools.begin(), pools.end(), [](const PoolDemand& a, const PoolDemand& b) { return a.name < b.name; });
     fillPools(state, &PoolDemand::requiredMachines, &PoolDemand::requiredMachines, pools, standby, out);
     for (auto& pool : pools)
         pool.requiredMachines += pool.machinesForOverdueWork;
--- a/src/libscheduler/fleet_plan_test.cpp
+++ b/src/libscheduler/fleet_plan_test.cpp
@@ -409,6 +409,31 @@
     BOOST_TEST(state.machines.at(fromPeak[0].machine).pool == "b");
 }
 
+// Machines under maintenance counted as present, so the demand vanished once their maintenance had begun.
+BOOST_AUTO_TEST_CASE(machinesUnderMaintenanceAreNoRoomForLongRunningTasks)
+{
+    state.loads["a"].serving = { "a0", "a1" };
+    state.loads["a"].missingServingMachines = 2;
+    for (const char* id : { "a2", "a3" }) {
+        state.machines[id].state = MachineState::Maintenance;
+        state.tasks[id] = { id, MachineAction::Maintain, 1, "", "vm-" + std::string(id),
+            MachineTaskState::Ordered, "7.1" };
+    }
+    const auto moves = planMoves(state, limits, clock.now());
+    BOOST_TEST(moves.size() == 3U); // one more as the pool's idle machine
+    BOOST_TEST(std::all_of(moves.begin(), moves.end(), [](const auto& move) { return move.toPool == "a"; }));
+}
+
+BOOST_AUTO_TEST_CASE(poolKeepsAMachineWhenLongRunningTasksOfOthersLackMachines)
+{
+    state.machines.erase("s0");
+    state.machines.erase("s1");
+    setBacklog("b", 100);
+    state.loads["a"].serving = { "a0", "a1", "a2", "a3" };
+    state.loads["a"].missingServingMachines = 9;
+    BOOST_TEST(planMoves(state, limits, clock.now()).size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(loadRowOfAnEarlierBuildHasNoOverdueWork)
 {
     auto row = encodeLoad(state.loads["a"]);
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -91,7 +91,9 @@
     if (isCounted)
         free += reservedBy(step);
     return hasLabel(vm, step.requiredLabel) && fits(reservedBy(step), free)
-        && (step.maxPerVm == 0 || countSiblings(vm, id) - isCounted < step.maxPerVm);
+        && (step.maxPerVm == 0
+            || countSiblings(vm, id) - isCounted + countReservedSiblings(state, vm.entry.id, id)
+                < step.maxPerVm);
 }
 
 /// Whether the VM accepts work and suits a task that has no run on it.
@@ -179,12 +181,20 @@
 
 } // namespace
 
-bool mayHostBesideOthers(const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id,
-    int reservedSiblings, TimePoint now)
+bool mayHostBesideOthers(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
 {
     const auto& step = stepOf(job, id.step);
     return isAvailable(vm, now) && hasLabel(vm, step.requiredLabel)
-        && (step.maxPerVm == 0 || countSiblings(vm, id) + reservedSiblings < step.maxPerVm)
+        && (step.maxPerVm == 0
+            || countSiblings(vm, id) + countReservedSiblings(state, vm.entry.id, id) < step.maxPerVm)
+        && (!needsTicket(state, job) || hasTicket(stepAdvice(job, id), vm, now));
+}
+
+bool canStartOn(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    return canHost(state, vm, stepOf(job, id.step), id, now)
         && (!needsTicket(state, job) || hasTicket(stepAdvice(job, id), vm, now));
 }
 
@@ -255,6 +265,11 @@
 {
     const auto& step = stepOf(job, id.step);
     const bool requiresTicket = needsTicket(state, job);
+    if (const auto own = state.servingReservations.find(id); own != state.servingReservations.end()) {
+        auto& vm = state.vms.find(own->second.vm)->second;
+        if (canStartOn(state, vm, job, id, now))
+            return &vm;
+    }
     const auto rack = step.sameRack ? siblingRack(state, job, id) : step.preferredRack;
     VmState* best = nullptr;
     Score bestScore;
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -19,10 +19,12 @@
 int countSiblings(const VmState& vm, const TaskId& id);
 /// Whether the VM accepts starts, perhaps only those of trials.
 bool isAvailable(const VmState& vm, TimePoint now);
-/// Whether the VM may run the task, whatever room it has. \p reservedSiblings: tasks of the step that have a
-/// reservation on it, beside those that it runs.
-bool mayHostBesideOthers(const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id,
-    int reservedSiblings, TimePoint now);
+/// Whether the VM may run the task beside its runs and reservations of the step, whatever room it has.
+bool mayHostBesideOthers(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
+/// Whether the task could start on the VM now.
+bool canStartOn(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
 /// First reason for which the VM can't take the task now; None if it can.
 PlacementObstacle findObstacle(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -29,7 +29,7 @@
 /// One pass of planEvacuations().
 struct EvacuationPass {
     bool canVmsTakeTasks = false; ///< some VM accepts starts
-    int reservationAttempts = 0; ///< that are left
+    ReservationPass reservations;
 };
 
 /// Whether the long-running task should go on until another VM has room for it. Reserves that room. The task
@@ -37,8 +37,8 @@
 bool shouldWaitForRoom(PoolState& state, EvacuationPass& pass, const VmState& vm, const JobEntry& job,
     const TaskId& id, TimePoint now)
 {
-    const auto* target = reserveForServing(state, job, id, pass.reservationAttempts, now);
-    if (target && fits(reservedBy(stepOf(job, id.step)), freeBesideReservations(state, *target, id)))
+    const auto* target = reserveForServing(state, job, id, pass.reservations, now);
+    if (target && canStartOn(state, *target, job, id, now))
         return false;
     const auto longestWait
         = vm.entry.draining ? state.limits.drainingPlacementWait : state.limits.evacuationTimeout;
@@ -273,7 +273,7 @@
 void planEvacuations(PoolState& state, TimePoint now)
 {
     dropStaleReservations(state, now);
-    EvacuationPass pass { false, state.limits.maxReservationAttempts };
+    EvacuationPass pass { false, { state.limits.maxReservationAttempts, {} } };
     pass.canVmsTakeTasks = std::any_of(state.vms.begin(), state.vms.end(),
         [&](const auto& entry) { return isAvailable(entry.second, now); });
     for (auto& [name, vm] : state.vms) {
@@ -344,7 +344,9 @@
                 load.overdueUsedCpu += usedCpu(job, occurrence);
         }
     }
-    load.missingServingMachines = missingServingMachines(state, rooms);
+    // Before that, long-running tasks may run on VMs that have not reported.
+    if (isRecoveryComplete(state, now))
+        load.missingServingMachines = missingServingMachines(state, rooms);
     if (state.areStartsLimited)
         limitToStartRate(load);
     return load;
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -182,7 +182,7 @@
 
 /// Starts the waiting tasks of a step one by one, until no VM can take the next.
 void placeTasks(PoolState& state, const WaitingStep& waiting, const StartBlocks& blocks, TimePoint now,
-    WallTime wallNow, std::size_t maxStarts, FailedNeeds& failed, int& reservationAttempts,
+    WallTime wallNow, std::size_t maxStarts, FailedNeeds& failed, ReservationPass& reservations,
     std::vector<StartAction>& out)
 {
     auto& job = *waiting.job;
@@ -206,9 +206,8 @@
             continue;
         }
         if (!vm && waiting.urgency == Urgency::Serving) {
-            reserveForServing(state, job, id, reservationAttempts, now);
             recordMissingTicket(state, waiting);
-            if (reservationAttempts <= 0)
+            if (!reserveForServing(state, job, id, reservations, now))
                 return;
             continue;
         }
@@ -322,10 +321,18 @@
 
 void applyPlatformVms(PoolState& state, std::set<std::string> vms)
 {
-    if (!state.platformVms)
+    if (!state.platformVms) {
         state.platformVms = std::move(vms);
-    else
-        std::erase_if(*state.platformVms, [&](const std::string& id) { return !vms.contains(id); });
+        return;
+    }
+    std::set<std::string> omitted;
+    std::erase_if(*state.platformVms, [&](const std::string& id) {
+        if (vms.contains(id))
+            return false;
+        omitted.insert(id);
+        return state.omittedPlatformVms.contains(id);
+    });
+    state.omittedPlatformVms = std::move(omitted);
 }
 
 bool isRecoveryComplete(const PoolState& state, TimePoint now)
@@ -359,7 +366,7 @@
     state.stepsNeedingTickets.clear();
     std::vector<StartAction> out;
     FailedNeeds failed;
-    int reservationAttempts = state.limits.maxReservationAttempts;
+    ReservationPass reservations { state.limits.maxReservationAttempts, {} };
     const auto limit = static_cast<std::size_t>(std::max(maxStarts, 0));
     for (const auto& step : waiting) {
         if (out.size() >= limit)
@@ -370,7 +377,7 @@
         if (spec.gang)
             placeGang(state, step, blocks, now, wallNow, out);
         else
-            placeTasks(state, step, blocks, now, wallNow, limit, failed, reservationAttempts, out);
+            placeTasks(state, step, blocks, now, wallNow, limit, failed, reservations, out);
     }
     return out;
 }
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -424,10 +424,28 @@
     BOOST_TEST(starts().empty());
     advance(1s);
     addVm("v4");
+    // One list may lack a VM whose machine changes its pool while the pages are read.
     applyPlatformVms(state, { "v1", "v3", "v4", "v5" });
+    BOOST_TEST(starts().empty());
+    advance(1s);
+    applyPlatformVms(state, { "v1", "v3", "v4", "v5", "v6" });
     BOOST_TEST(starts().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(vmThatOneListLacksIsWaitedForAfterATakeover)
+{
+    state.term = 1;
+    state.recoveryDeadline = clock.now() + 10s;
+    submit("j1", { makeStep(1) }, true);
+    addVm("v1");
+    addVm("v2", 4000, "r1", false);
+    applyPlatformVms(state, { "v1", "v2" });
+    applyPlatformVms(state, { "v1" });
+    applyPlatformVms(state, { "v1", "v2" });
+    applyPlatformVms(state, { "v1" });
+    BOOST_TEST(starts().empty());
+}
+
 /// A pool after a takeover: v1 has room and reports, v2 is silent.
 struct TakeoverFixture : PoolFixture {
     TakeoverFixture()
@@ -550,7 +568,7 @@
         const auto load = computeLoad(state, clock.now(), wallNow);
         BOOST_TEST(load.waitingCpu >= 0);
         BOOST_TEST(load.arrivingCpu >= 0);
-        BOOST_TEST(load.waitingWork == (isLimited ? 0 : 1'000'000'000'000'000'000));
+        BOOST_TEST(load.waitingWork == (isLimited ? 0 : maxPoolLoad));
         BOOST_TEST((decodeLoad(encodeLoad(load)) == load));
     }
 }
--- a/src/libscheduler/serving_placement_test.cpp
+++ b/src/libscheduler/serving_placement_test.cpp
@@ -169,6 +169,83 @@
     BOOST_TEST(computeLoad(state, clock.now(), wallNow).missingServingMachines == 2);
 }
 
+// VMs with memory for the task were counted as room, although each ran a task of the same step.
+BOOST_AUTO_TEST_CASE(vmWithATaskOfTheStepIsNoRoomForAnother)
+{
+    for (const char* vm : { "v1", "v2", "v3" })
+        addVm(vm, vmCpu);
+    submit("serving", { makeServingStep(3, 5'000) });
+    runTick();
+    BOOST_REQUIRE(computeLoad(state, clock.now(), wallNow).missingServingMachines == 0);
+    setEvacuation(state.vms.at("v1"), "7.1");
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).missingServingMachines == 1);
+}
+
+BOOST_AUTO_TEST_CASE(machinesForManyWaitingTasksAreCountedAtOnce)
+{
+    addVm("v1", vmCpu);
+    auto step = makeServingStep(100'000, 10'000);
+    step.maxPerVm = 0;
+    submit("serving", { step });
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).missingServingMachines == 33'333);
+}
+
+// After a takeover the tasks of the earlier holder run on VMs that have not reported.
+BOOST_AUTO_TEST_CASE(recoveredLongRunningTasksLackNoMachines)
+{
+    state.recoveryDeadline = clock.now() + milliseconds(10'000);
+    addVm("v1", vmCpu);
+    addVm("v2", vmCpu, "r1", false);
+    submit("serving", { makeServingStep(2, 20'000) }, true);
+    BOOST_TEST(computeLoad(state, clock.now(), wallNow).missingServingMachines == 0);
+}
+
+// A task of the step took the VM that was reserved for another, whose reservation then stayed on a VM that
+// could not take it.
+BOOST_AUTO_TEST_CASE(taskDoesNotTakeAVmThatIsReservedForAnotherOfItsStep)
+{
+    addVm("leaving", vmCpu);
+    submit("serving", { makeServingStep(2, 12'000) });
+    runTick();
+    BOOST_REQUIRE(isRunning("serving", 0));
+    addVm("v1", vmCpu);
+    setEvacuation(state.vms.at("leaving"), "7.1");
+    planEvacuations(state, clock.now()); // reserves v1 for the first task and stops it
+    BOOST_REQUIRE(state.servingReservations.contains({ "serving", 0, 0, 0 }));
+    BOOST_TEST(starts().empty()); // the second task waits
+    addVm("v2", vmCpu);
+    runTick();
+    runTick();
+    BOOST_TEST(isRunning("serving", 0));
+    BOOST_TEST(isRunning("serving", 1));
+}
+
+BOOST_AUTO_TEST_CASE(longRunningTaskIsNotStoppedForAVmOnTrial)
+{
+    addVm("leaving", vmCpu);
+    submit("serving", { makeServingStep(1, 12'000) });
+    runTick();
+    addVm("v1", vmCpu);
+    state.vms.at("v1").trialTask = TaskId { "other", 0, 0, 0 };
+    setEvacuation(state.vms.at("leaving"), "7.1");
+    planEvacuations(state, clock.now());
+    BOOST_TEST(isRunning("serving", 0));
+}
+
+// Tasks that fit nowhere used up all attempts of each pass.
+BOOST_AUTO_TEST_CASE(taskThatFitsNowhereDoesNotKeepOthersFromReserving)
+{
+    addVm("v1", vmCpu);
+    for (int i = 0; i < 10; ++i) {
+        keepBacklog();
+        runTick();
+    }
+    submit("a", { makeServingStep(100, 40'000) });
+    submit("b", { makeServingStep(1, 24'000) });
+    runTick();
+    BOOST_TEST(state.servingReservations.contains({ "b", 0, 0, 0 }));
+}
+
 BOOST_AUTO_TEST_CASE(reservationEndsWithItsTask)
 {
     addVm("v1", vmCpu);
--- a/src/libscheduler/serving_reservations.cpp
+++ b/src/libscheduler/serving_reservations.cpp
@@ -72,7 +72,8 @@
     return std::nullopt;
 }
 
-/// Reservations on the VM for tasks of the step.
+} // namespace
+
 int countReservedSiblings(const PoolState& state, const std::string& vm, const TaskId& id)
 {
     auto it = state.servingReservations.lower_bound({ id.job, id.occurrence, id.step, 0 });
@@ -86,8 +87,6 @@
     return count;
 }
 
-} // namespace
-
 Resources freeBesideReservations(const PoolState& state, const VmState& vm, const TaskId& id)
 {
     auto free = vm.entry.capacity;
@@ -105,8 +104,10 @@
 {
     for (auto it = state.servingReservations.begin(); it != state.servingReservations.end();) {
         const auto vm = state.vms.find(it->second.vm);
-        const bool isUsable = vm != state.vms.end() && isAvailable(vm->second, now);
-        if (isUsable && needsPlace(state, it->first)) {
+        const bool isNeeded = vm != state.vms.end() && needsPlace(state, it->first);
+        if (isNeeded
+            && mayHostBesideOthers(
+                state, vm->second, state.jobs.find(it->first.job)->second, it->first, now)) {
             ++it;
             continue;
         }
@@ -127,19 +128,20 @@
 }
 
 const VmState* reserveForServing(
-    PoolState& state, const JobEntry& job, const TaskId& id, int& attempts, TimePoint now)
+    PoolState& state, const JobEntry& job, const TaskId& id, ReservationPass& pass, TimePoint now)
 {
     if (const auto found = state.servingReservations.find(id); found != state.servingReservations.end())
         return &state.vms.find(found->second.vm)->second;
-    if (attempts <= 0)
+    const StepId stepId { id.job, id.occurrence, id.step };
+    if (pass.attempts <= 0 || pass.failedSteps.contains(stepId))
         return nullptr;
-    --attempts;
+    --pass.attempts;
     const auto& step = stepOf(job, id.step);
     const auto need = reservedBy(step);
     VmState* soonest = nullptr;
     milliseconds soonestTime { 0 };
     for (auto& [name, vm] : state.vms) {
-        if (!mayHostBesideOthers(state, vm, job, id, countReservedSiblings(state, name, id), now))
+        if (vm.trialTask || !mayHostBesideOthers(state, vm, job, id, now))
             continue;
         const auto time = timeUntilFree(state, vm, id, need, now);
         if (!time || (soonest && *time >= soonestTime))
@@ -147,8 +149,10 @@
         soonest = &vm;
         soonestTime = *time;
     }
-    if (!soonest)
+    if (!soonest) {
+        pass.failedSteps.insert(stepId);
         return nullptr;
+    }
     soonest->reserved += need;
     state.servingReservations.emplace(id, ServingReservation { soonest->entry.id, need });
     return soonest;
