Keep a start without a response for the longest lease of a silent VM

Cause: a VM with runs counts as not restarted for 2 s after its last report, so the lease of a start was computed for that boot (4.5 s). If the VM had restarted under its id within that time, the new boot cuts the lease end, far ahead on its clock, to the longest (10 s on one deployment, 6 s on the other). A response shows the boot, and a report does; a start whose response is lost and whose VM falls silent shows neither. The task was started elsewhere when the shorter lease had expired, while the new boot ran it for up to 5.5 s more.

Ruled out: the longest lease for every command (each crash of a VM would delay all its tasks to 10.6 s; the runs that the earlier boot had confirmed end with it or with its lease); a restart that a response or a registration shows.

Change: once the lease of a silent VM has expired, a start that the VM has not confirmed is kept until the longest lease since its sending has passed, unless another VM answers at the address. All other runs are released as before.

Evidence: startWithoutResponseIsKeptForTheLongestLeaseOfASilentVm fails on (the run is gone 10.1 s after its start was sent) and passes now; the run confirmed by the earlier boot is released as before. The other tests of the scheduler pass.

Conclusion: tasks whose start got no response and whose VM stays silent start again up to 5.7 s later.

--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -158,16 +158,6 @@
     releaseRun(state, id, task);
 }
 
-void releaseAllRuns(PoolState& state, VmState& vm, RunEventKind kind)
-{
-    const auto runs = vm.runs;
-    for (const auto& id : runs) {
-        if (auto* task = findTask(state, id))
-            releaseRunAs(state, id, *task, kind);
-    }
-    vm.orphanRuns.clear();
-}
-
 void listVm(PoolState& state, const VmRegistration& entry)
 {
     auto [it, added] = state.vms.try_emplace(entry.id);
@@ -337,6 +327,31 @@
     return takeover + std::chrono::ceil<milliseconds>(longest) + takeoverMargin;
 }
 
+namespace {
+
+/// Whether the VM may have restarted under its id before it received the start command. The new boot then
+/// runs the task for the longest lease, since the lease end in the command is far ahead on its clock.
+bool mayRunInALaterBoot(const VmState& vm, const RunState& run, const PoolLimits& limits, TimePoint now)
+{
+    return !vm.hasEnded && run.sentAt != TimePoint {} && run.confirmedAt == TimePoint {}
+    && now < recoveryDeadlineAfter(limits, run.sentAt);
+}
+
+/// Releases the runs whose lease has expired; that of the VM has.
+void releaseExpiredRuns(PoolState& state, VmState& vm, TimePoint now)
+{
+    const auto kind = vm.hasEnded ? RunEventKind::VmReplaced : RunEventKind::LeaseExpired;
+    const auto runs = vm.runs;
+    for (const auto& id : runs) {
+        auto* task = findTask(state, id);
+        if (task && task->run && !mayRunInALaterBoot(vm, *task->run, state.limits, now))
+            releaseRunAs(state, id, *task, kind);
+    }
+    vm.orphanRuns.clear();
+}
+
+} // namespace
+
 void expireLeases(PoolState& state, TimePoint now)
 {
     for (auto it = state.vms.begin(); it != state.vms.end();) {
@@ -349,7 +364,7 @@
             // A draining or evacuating VM has been taken away.
             if (!vm.isRegistered && !vm.entry.draining && !vm.isEvacuating)
                 attributeCrash(state, vm, {}, TimePoint::max(), vm.hasEnded);
-            releaseAllRuns(state, vm, vm.hasEnded ? RunEventKind::VmReplaced : RunEventKind::LeaseExpired);
+            releaseExpiredRuns(state, vm, now);
         }
         if (!vm.isRegistered && over && vm.runs.empty()) {
             it = state.vms.erase(it);
--- a/src/libscheduler/pool_state_pvt.h
+++ b/src/libscheduler/pool_state_pvt.h
@@ -17,7 +17,5 @@
 /// Whether the registration is of the boot that has reported last. Another boot may have another capacity and
 /// other labels.
 bool isEntryCurrent(const VmState& vm);
-/// Releases all runs on the VM and forgets its orphan runs.
-void releaseAllRuns(PoolState& state, VmState& vm, RunEventKind kind);
 
 } // namespace damask::fleet
--- a/src/libscheduler/vm_restart_test.cpp
+++ b/src/libscheduler/vm_restart_test.cpp
@@ -112,6 +112,34 @@
     checkKeptForTheLongestLease("v1");
 }
 
+// A busy VM restarted between two reports, accepted a start whose response was lost, and fell silent. Its new
+// boot had cut the lease end, far ahead on its clock, to the longest; the task was started elsewhere after
+// the lease that the earlier boot would have had.
+BOOST_AUTO_TEST_CASE(startWithoutResponseIsKeptForTheLongestLeaseOfASilentVm)
+{
+    state.limits.maxVmLease = 10s;
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(startAndAccept().size() == 1U);
+    advance(100ms);
+    report("v1");
+    advance(200ms);
+    submit("j2", { makeStep(1) });
+    const auto start = starts().at(0);
+    findTask(state, start.command.task)->run->sentAt = clock.now();
+    advance(500ms);
+    applyStartOutcome(
+        state, "v1", start.command.task, start.command.run, CommandOutcome::Unknown, clock.now());
+    unlistVm(state, "v1");
+    advance(9600ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j1", 0, 0).run.has_value());
+    BOOST_TEST(task("j2", 0, 0).run.has_value());
+    advance(500ms);
+    expireLeases(state, clock.now());
+    BOOST_TEST(!task("j2", 0, 0).run.has_value());
+}
+
 // The response to the start shows the boot of the last report, and with it the lease of the command.
 BOOST_AUTO_TEST_CASE(firstRunOfAnIdleVmIsReleasedWithItsLeaseOnceAResponseShowsItsBoot)
 {
