Raise the fencing token where a VM may carry out earlier commands

A command without a response may be carried out up to 12 s later. Two ways in which it could act after its run had been released and its task started elsewhere: - A VM is silent until its lease has expired and its run is released by lease_expired. On its return it gets a lease, and with it it may carry out the old start, if it judges `late` by the lease that it has by then. It was never told to stop that run. - A VM restarts under its id. The next boot knows neither the stop that the earlier one confirmed nor any fencing token, and its clock is far behind the lease end in the command. A late heartbeat makes it forget ends.

A VM does nothing for a lower token than it has seen. So the holder raises its token for such a VM, and the VM gets no starts, no lease and no acknowledgements before it has reported to a heartbeat with that token: - after each report that shows a restart under the id; - when a VM with a start of unknown outcome, sent within the last 12 s, stops responding or its lease expires: the first command that it or its next boot receives then carries the token already; - when a VM that was removed returns within 12 s. A heartbeat waits at an idle VM with such a start, as at one with runs, so that a restart shows at once. A new holder does this with all VMs for 12 s.

The token is one per VM. One for the pool, raised by Superseded before, makes VMs refuse commands to others that it overtakes, each of which raised it again. A command with an earlier token of this holder now raises nothing.

Ruled out: waiting 12 s with the task of each unanswered start.

Tests: nine new ones in vm_restart_test; all fail if requireNewToken() and the records of unsettled starts do nothing. Changed tests, as strict as before: eight expected starts right after the first report of another boot and now apply the report under the raised token too (restartEmpty; the simulation of crash_attribution_test raises the token); orphanRunIsStoppedBeforeTheVmGetsTasks reported a clock of 0 after one of an hour, by mistake, which shows a restart.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -104,7 +104,7 @@
     int outstandingStarts() const;
     void sendThrottleCommands(const std::string& name, TimePoint now);
     void handleCommandOutcome(const VmTarget& target, CommandOutcome outcome, TimePoint sentAt);
-    VmTarget makeTarget(const VmState& vm) const;
+    static VmTarget makeTarget(const VmState& vm);
     LedgerBatch collectBatch();
     void onCommitted(const LedgerBatch& batch);
     /// Logs and counts the end of a job, and whether it met its objective.
@@ -113,6 +113,8 @@
     /// Removes jobs whose end is durable and which have no runs left.
     void removeEndedJobs();
     void markDirtyIfNeeded();
+    /// The lease was renewed, perhaps with a raised fencing token.
+    void onRenewed();
     void publishLoad(TimePoint now);
     void logLoad(TimePoint now);
     /// Logs now and then why long-running tasks wait.
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -42,6 +42,7 @@
     NotReported, ///< to this holder yet
     OtherBootRegistered, ///< its registration and its last report are of different boots
     Unresponsive,
+    NotFenced, ///< it may still carry out earlier commands
     Draining,
     Evacuating,
     OrphanRuns,
@@ -56,12 +57,13 @@
     Ticket,
 };
 
-inline constexpr NameTable<PlacementObstacle, 17> placementObstacleNames { {
+inline constexpr NameTable<PlacementObstacle, 18> placementObstacleNames { {
     { PlacementObstacle::None, "none" },
     { PlacementObstacle::Unregistered, "unregistered" },
     { PlacementObstacle::NotReported, "not_reported" },
     { PlacementObstacle::OtherBootRegistered, "other_boot_registered" },
     { PlacementObstacle::Unresponsive, "unresponsive" },
+    { PlacementObstacle::NotFenced, "not_fenced" },
     { PlacementObstacle::Draining, "draining" },
     { PlacementObstacle::Evacuating, "evacuating" },
     { PlacementObstacle::OrphanRuns, "orphan_runs" },
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -122,6 +122,13 @@
     TimePoint firstStartAt {}; ///< first start command of this holder; zero: none yet
 };
 
+/// Whether the commands that a VM has been sent are void, see requireNewToken().
+enum class Fencing {
+    NotRequired,
+    TokenRequired, ///< the holder has to raise its fencing token
+    ReportRequired, ///< commands carry the raised token; the VM has not responded to a heartbeat with it yet
+};
+
 /// A VM of the pool.
 struct VmState {
     VmRegistration entry;
@@ -164,6 +171,12 @@
     std::optional<TaskId> trialTask; ///< task whose run is on trial; the VM gets no other starts
     TimePoint reservedUntil {}; ///< the VM gets no starts before this time but those of suspect tasks
     Resources reserved; ///< kept free for long-running tasks, see PoolState::servingReservations
+    std::uint64_t fencingToken = 0; ///< in commands to the VM
+    Fencing fencing = Fencing::NotRequired;
+    TimePoint tokenRaisedAt {}; ///< when fencingToken was last raised; zero: never
+    /// Until then the VM may carry out the start of a run that was released without a sign that the start had
+    /// been carried out. If its stop was confirmed, only a later boot may.
+    TimePoint unsettledStartsUntil {};
 };
 
 /// Room on a VM that other tasks leave to a long-running task.
@@ -271,6 +284,7 @@
     std::string pool;
     bool enforcesCapacity = false;
     std::uint64_t term = 0; ///< number of earlier holders
+    std::uint64_t fencingToken = 0; ///< highest of this holder
     PoolLimits limits;
     std::map<std::string, Queue, std::less<>> queues; ///< by name
     std::map<std::string, JobEntry, std::less<>> jobs; ///< that have not ended, by id
@@ -286,6 +300,9 @@
     /// them for a while after an outage. Empty optional: the platform has not responded yet.
     std::optional<std::set<std::string>> platformVms;
     std::set<std::string> omittedPlatformVms; ///< of platformVms, those that the last list lacked
+    /// Removed VMs, which may return, with the time until which they may carry out earlier commands.
+    std::map<std::string, TimePoint, std::less<>> removedVms;
+    TimePoint earlierStartsUntil {}; ///< VmState::unsettledStartsUntil for starts of earlier holders
     std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
     /// Room for long-running tasks that wait or have to leave their VM. Without it, shorter and smaller tasks
     /// take each bit of room that becomes free on a full VM.
@@ -362,6 +379,20 @@
 /// Whether the lease of every run on the VM has expired, even if the VM's clock is at its slowest.
 bool isLeaseExpired(const VmState& vm, const PoolLimits& limits, TimePoint now);
 
+/// Makes the commands that the VM has been sent void: a VM does nothing for a lower fencing token than it has
+/// seen. Until it has responded to a heartbeat with a higher one, it gets no starts, no lease and no
+/// acknowledgements, which a later boot could take for its own.
+void requireNewToken(VmState& vm);
+/// Applies CommandOutcome::Superseded: the VM has seen a higher fencing token than \p token.
+void applySuperseded(PoolState& state, std::string_view vm, std::uint64_t token);
+/// Requires a new token for a VM that does not respond, if it may still carry out a start of unknown outcome
+/// once it is back. Then the first command that it receives carries that token.
+void fenceUnsettledStarts(PoolState& state, std::string_view vm, TimePoint now);
+/// Whether the holder has to raise its fencing token.
+bool isNewTokenRequired(const PoolState& state);
+/// Puts the raised token into the commands to the VMs that require it; returns these.
+std::vector<std::string> applyNewToken(PoolState& state, std::uint64_t token, TimePoint now);
+
 /// Whether the report is of another boot of the VM than its last one.
 bool isOfAnotherBoot(const VmState& vm, const VmReport& report);
 
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -48,8 +48,7 @@
     , m_onEnd(std::move(onEnd))
     , m_ledger(context.base, context.table, context.clock, context.metrics, pool, lease, leaseTiming,
           { [this] { return collectBatch(); }, [this](const LedgerBatch& batch) { onCommitted(batch); },
-              [this](const LedgerBatch& batch) { onFailed(batch); },
-              [this] { scheduleReconcile(reconcileDelay); },
+              [this](const LedgerBatch& batch) { onFailed(batch); }, [this] { onRenewed(); },
               [this] {
                   m_ended = true;
                   m_onEnd();
@@ -71,6 +70,7 @@
 {
     m_state.pool = std::move(pool);
     m_state.term = lease.row.term;
+    m_state.fencingToken = m_ledger.fencingToken();
     if (m_state.term == 0)
         m_earlierProgress.emplace(); // there is no earlier holder
     else
@@ -88,8 +88,10 @@
     m_state.limits.vmLease = std::min(m_state.limits.vmLease, m_maxVmLease);
     m_begunAt = now;
     m_isRecovering = m_state.term > 0;
-    if (m_isRecovering)
+    if (m_isRecovering) {
         m_state.recoveryDeadline = recoveryDeadlineAfter(m_state.limits, now);
+        m_state.earlierStartsUntil = now + m_state.limits.maxCommandDelay;
+    }
     applyConfig(config);
     for (const auto& [id, vm] : vms)
         listVm(vm);
@@ -274,6 +276,8 @@
         m_advisor.requestNext();
     }
     sendHeartbeats(now);
+    if (isNewTokenRequired(m_state))
+        m_ledger.raiseFencingToken();
     logRunEvents();
     removeEndedJobs();
     markDirtyIfNeeded();
@@ -283,6 +287,21 @@
     scheduleReconcile(isIdle ? idleReconcileInterval : reconcileInterval);
 }
 
+void PoolHolder::onRenewed()
+{
+    const auto token = m_ledger.fencingToken();
+    if (token != m_state.fencingToken) {
+        const auto now = m_context.clock.now();
+        const auto vms = applyNewToken(m_state, token, now);
+        for (const auto& vm : vms)
+            m_heartbeatStates[vm].nextHeartbeatAt = now;
+        logEvent(LogLevel::Info, "fencing_token_raised",
+            { { "pool", m_state.pool }, { "fence", std::to_string(token) },
+                { "vms", std::to_string(vms.size()) } });
+    }
+    scheduleReconcile(reconcileDelay);
+}
+
 void PoolHolder::markDirtyIfNeeded()
 {
     const bool dirty = std::any_of(
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -20,18 +20,17 @@
 
 } // namespace
 
-VmTarget PoolHolder::makeTarget(const VmState& vm) const
+VmTarget PoolHolder::makeTarget(const VmState& vm)
 {
-    return { vm.entry.address, vm.entry.id, m_ledger.fencingToken() };
+    return { vm.entry.address, vm.entry.id, vm.fencingToken };
 }
 
 void PoolHolder::handleCommandOutcome(const VmTarget& target, CommandOutcome outcome, TimePoint sentAt)
 {
     if (outcome == CommandOutcome::Superseded) {
         logEvent(LogLevel::Warning, "order_superseded",
-            { { "pool", m_state.pool }, { "vm", target.vm },
-                { "fence", std::to_string(m_ledger.fencingToken()) } });
-        m_ledger.raiseFencingToken();
+            { { "pool", m_state.pool }, { "vm", target.vm }, { "fence", std::to_string(target.fence) } });
+        applySuperseded(m_state, target.vm, target.fence);
     }
     if (outcome == CommandOutcome::WrongVm)
         applyWrongVm(m_state, target.vm, target.address, sentAt);
@@ -109,7 +108,7 @@
         : milliseconds(0);
     logEvent(LogLevel::Info, "task_start",
         { { "task", toString(start.command.task) }, { "run", std::to_string(start.command.run) },
-            { "vm", start.vm }, { "fence", std::to_string(m_ledger.fencingToken()) },
+            { "vm", start.vm }, { "fence", std::to_string(target.fence) },
             { "outcome", std::string(nameOf(commandOutcomeNames, outcome)) },
             { "held_back_ms", std::to_string(heldBack.count()) },
             { "vm_clock_ms", std::to_string(response.vmClock.count()) } });
@@ -178,6 +177,11 @@
     if (found == m_state.vms.end())
         return;
     auto& vm = found->second;
+    // The heartbeat was overtaken by a command with a raised token.
+    if (!report && report.error() == CommandOutcome::Superseded && target.fence < vm.fencingToken) {
+        heartbeatState.nextHeartbeatAt = now;
+        return scheduleReconcile(reconcileDelay);
+    }
     if (!report) {
         if (!vm.isUnresponsive)
             logEvent(LogLevel::Warning, "vm_lost",
@@ -185,6 +189,7 @@
                     { "outcome", std::string(nameOf(commandOutcomeNames, report.error())) },
                     { "runs", std::to_string(vm.runs.size()) } });
         markUnresponsive(m_state, name);
+        fenceUnsettledStarts(m_state, name, now);
         handleCommandOutcome(target, report.error(), sentAt);
         heartbeatState.lastAckSent = 0;
         heartbeatState.nextHeartbeatAt = now + heartbeatRetryDelay;
@@ -217,8 +222,8 @@
     // The VM returns ends at once until they are acknowledged. While the ledger can't make them
     // durable, a pause avoids a busy loop.
     const bool onlyRepeatedEnds = vm.applied == before && !report->ended.empty();
-    heartbeatState.nextHeartbeatAt
-        = now + (onlyRepeatedEnds ? heartbeatRetryDelay : reportPause(m_commandWindow));
+    const bool hasToWait = onlyRepeatedEnds || vm.fencing != Fencing::NotRequired;
+    heartbeatState.nextHeartbeatAt = now + (hasToWait ? heartbeatRetryDelay : reportPause(m_commandWindow));
     scheduleReconcile(reconcileDelay);
 }
 
--- a/src/libscheduler/crash_attribution_test.cpp
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -222,6 +222,8 @@
             handOver();
         }
         expireLeases(state, clock.now());
+        if (isNewTokenRequired(state))
+            raiseToken();
         for (const auto& stop : planStops(state, clock.now())) {
             auto& vm = m_vms.at(stop.vm);
             const auto outcome = vm.isUp ? CommandOutcome::Accepted : CommandOutcome::Unreachable;
@@ -527,7 +529,7 @@
     vm.bootTime = 2;
     vm.capacity.cpu = 2000;
     listVm(state, vm);
-    reportEmpty("v1", 2);
+    restartEmpty("v1", 2);
     BOOST_TEST(starts().size() == 2u);
 }
 
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -21,6 +21,8 @@
         return OtherBootRegistered;
     if (vm.isUnresponsive)
         return Unresponsive;
+    if (vm.fencing != Fencing::NotRequired)
+        return NotFenced;
     if (vm.entry.draining)
         return Draining;
     if (vm.isEvacuating)
--- a/src/libscheduler/pool_fixture_test.h
+++ b/src/libscheduler/pool_fixture_test.h
@@ -128,6 +128,18 @@
         applyReport(state, vm, out, clock.now(), clock.now());
     }
 
+    /// Raises the holder's fencing token for the VMs that require it.
+    void raiseToken() { applyNewToken(state, state.fencingToken + 1, clock.now()); }
+
+    /// Applies the first reports of another boot, without runs: one that shows the restart, and one to a
+    /// heartbeat with the raised token.
+    void restartEmpty(const std::string& vm, std::int64_t bootTime)
+    {
+        reportEmpty(vm, bootTime);
+        raiseToken();
+        reportEmpty(vm, bootTime);
+    }
+
     static EndReport makeEnd(std::uint64_t number, const StartAction& start, EndKind kind = EndKind::Done)
     {
         return { number, start.command.task, start.command.run, kind, "" };
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -270,6 +270,10 @@
     } else if (vm.isUnresponsive) {
         clearRisk(state, vm);
     }
+    if (vm.fencing == Fencing::ReportRequired && sentAt >= vm.tokenRaisedAt)
+        vm.fencing = Fencing::NotRequired;
+    else if (isRestarted)
+        requireNewToken(vm); // the new boot has seen no token, and its clock is far behind the ends of leases
     recordUnknownLease(vm, report, state, sentAt, now);
     vm.bootTime = report.bootTime;
     vm.earlierBoots.erase(vm.bootTime);
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -151,10 +151,27 @@
         run.nextStopAt = now;
 }
 
+namespace {
+
+/// Records that the start of a run that is being released may still be carried out.
+void recordUnsettledStart(PoolState& state, const RunState& run, RunEventKind kind)
+{
+    const bool isUnsent = run.sentAt == TimePoint {} || kind == RunEventKind::StartRejected;
+    const auto vm = state.vms.find(run.vm);
+    if (isUnsent || run.confirmedAt != TimePoint {} || vm == state.vms.end())
+        return;
+    auto& until = vm->second.unsettledStartsUntil;
+    until = std::max(until, run.sentAt + state.limits.maxCommandDelay);
+}
+
+} // namespace
+
 void releaseRunAs(PoolState& state, const TaskId& id, TaskState& task, RunEventKind kind)
 {
-    if (task.run)
+    if (task.run) {
         state.runEvents.push_back({ task.run->vm, id, task.run->number, kind });
+        recordUnsettledStart(state, *task.run, kind);
+    }
     releaseRun(state, id, task);
 }
 
@@ -173,6 +190,14 @@
     auto [it, added] = state.vms.try_emplace(entry.id);
     auto& vm = it->second;
     vm.isRegistered = true;
+    if (added) {
+        vm.fencingToken = state.fencingToken;
+        vm.unsettledStartsUntil = state.earlierStartsUntil;
+        if (const auto removed = state.removedVms.extract(entry.id)) {
+            vm.unsettledStartsUntil = removed.mapped();
+            requireNewToken(vm);
+        }
+    }
     // A registration of an earlier boot may arrive late.
     if (vm.earlierBoots.contains(entry.bootTime))
         return;
@@ -182,6 +207,55 @@
         vm.isUnresponsive = true;
 }
 
+void requireNewToken(VmState& vm)
+{
+    // A raised token that no command but heartbeats and stops has carried yet is new enough.
+    if (vm.fencing == Fencing::NotRequired)
+        vm.fencing = Fencing::TokenRequired;
+}
+
+void applySuperseded(PoolState& state, std::string_view name, std::uint64_t token)
+{
+    const auto found = state.vms.find(name);
+    if (found != state.vms.end() && token >= found->second.fencingToken)
+        found->second.fencing = Fencing::TokenRequired;
+}
+
+void fenceUnsettledStarts(PoolState& state, std::string_view name, TimePoint now)
+{
+    const auto found = state.vms.find(name);
+    if (found == state.vms.end())
+        return;
+    auto& vm = found->second;
+    const bool hasUnknownStart = std::any_of(vm.runs.begin(), vm.runs.end(), [&](const TaskId& id) {
+        const auto* task = findTask(state, id);
+        return task && task->run && task->run->phase == RunPhase::Unknown;
+    });
+    if (hasUnknownStart || now < vm.unsettledStartsUntil)
+        requireNewToken(vm);
+}
+
+bool isNewTokenRequired(const PoolState& state)
+{
+    return std::any_of(state.vms.begin(), state.vms.end(),
+        [](const auto& entry) { return entry.second.fencing == Fencing::TokenRequired; });
+}
+
+std::vector<std::string> applyNewToken(PoolState& state, std::uint64_t token, TimePoint now)
+{
+    std::vector<std::string> out;
+    state.fencingToken = token;
+    for (auto& [name, vm] : state.vms) {
+        if (vm.fencing != Fencing::TokenRequired)
+            continue;
+        vm.fencingToken = token;
+        vm.fencing = Fencing::ReportRequired;
+        vm.tokenRaisedAt = now;
+        out.push_back(name);
+    }
+    return out;
+}
+
 bool isEntryCurrent(const VmState& vm)
 {
     return vm.entry.bootTime == 0 || vm.bootTime == 0 || vm.entry.bootTime == vm.bootTime;
@@ -305,20 +379,26 @@
 {
     if (!isEntryCurrent(vm) && now - vm.clockReportedAt >= limits.bootMismatchReportInterval)
         return true;
+    // A heartbeat that waits at the VM shows at once that the VM restarts.
+    if (now < vm.unsettledStartsUntil)
+        return true;
     return !vm.hasReported || vm.isUnresponsive || !vm.runs.empty() || !vm.orphanRuns.empty()
-        || now < vm.reservedUntil || now - vm.clockReportedAt >= limits.idleReportInterval;
+        || vm.fencing == Fencing::ReportRequired || now < vm.reservedUntil
+        || now - vm.clockReportedAt >= limits.idleReportInterval;
 }
 
 HeartbeatCommand planHeartbeat(VmState& vm, const PoolLimits& limits, TimePoint now)
 {
     HeartbeatCommand command;
+    const bool isTrusted = vm.hasReported && !vm.isUnresponsive && vm.fencing == Fencing::NotRequired;
     // The ends of a new boot have the same numbers.
-    if (!vm.isUnresponsive && now - vm.clockReportedAt <= limits.maxAcknowledgementAge)
+    if (isTrusted && now - vm.clockReportedAt <= limits.maxAcknowledgementAge)
         command.acknowledged = vm.acknowledged;
     // The lease of an unresponsive VM is not renewed, so that its tasks can be released once it expires.
-    if (!vm.hasReported || vm.isUnresponsive || vm.runs.empty())
+    if (!isTrusted || (vm.runs.empty() && now >= vm.unsettledStartsUntil))
         return command;
-    command.leaseUntil = extendLease(vm, limits, now);
+    if (!vm.runs.empty())
+        command.leaseUntil = extendLease(vm, limits, now);
     if (vm.orphanRuns.empty())
         command.wait = vm.trialTask || now < vm.reservedUntil ? limits.shortTrial : limits.maxHeartbeatWait;
     return command;
@@ -339,6 +419,7 @@
 
 void expireLeases(PoolState& state, TimePoint now)
 {
+    std::erase_if(state.removedVms, [&](const auto& entry) { return now >= entry.second; });
     for (auto it = state.vms.begin(); it != state.vms.end();) {
         auto& vm = it->second;
         const bool over
@@ -350,8 +431,10 @@
             if (!vm.isRegistered && !vm.entry.draining && !vm.isEvacuating)
                 attributeCrash(state, vm, {}, TimePoint::max(), vm.hasEnded);
             releaseAllRuns(state, vm, vm.hasEnded ? RunEventKind::VmReplaced : RunEventKind::LeaseExpired);
+            fenceUnsettledStarts(state, it->first, now);
         }
         if (!vm.isRegistered && over && vm.runs.empty()) {
+            state.removedVms[it->first] = now + state.limits.maxCommandDelay;
             it = state.vms.erase(it);
             continue;
         }
--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -323,7 +323,7 @@
     submit("j1", { makeStep(1) });
     startAndAccept();
     advance(100ms);
-    reportEmpty("v1", 2);
+    restartEmpty("v1", 2);
     const auto next = startAndAccept();
     BOOST_REQUIRE(next.size() == 1u);
     BOOST_TEST(next[0].command.run == 2u);
@@ -724,6 +724,7 @@
     addVm("v1");
     VmReport report;
     report.bootTime = 1;
+    report.vmClock = state.vms.at("v1").reportedClock;
     report.running.push_back({ { "gone", 0, 0, 0 }, 3, "", 30, 0 });
     applyReport(state, "v1", report, clock.now(), clock.now());
     submit("j1", { makeStep(1) });
@@ -999,7 +1000,7 @@
     state.limits.maxVmLease = 6s;
     addVm("v1");
     submit("j1", { makeStep(1) });
-    reportEmpty("v1", 2);
+    restartEmpty("v1", 2);
     BOOST_REQUIRE(startAndAccept().size() == 1u);
     markUnresponsive(state, "v1");
     unlistVm(state, "v1");
@@ -1017,7 +1018,7 @@
     state.limits.maxVmLease = 10s;
     addVm("v1");
     submit("j1", { makeStep(1) });
-    reportEmpty("v1", 2);
+    restartEmpty("v1", 2);
     BOOST_REQUIRE(startAndAccept().size() == 1u);
     advance(3s);
     report("v1", {}, 2);
@@ -1045,7 +1046,7 @@
     BOOST_TEST(starts().empty());
     BOOST_TEST(planHeartbeat(state.vms.at("v1"), state.limits, clock.now()).leaseUntil.count() == 0);
     BOOST_TEST(isReportDue(state.vms.at("v1"), state.limits, clock.now()));
-    reportEmpty("v1", 2);
+    restartEmpty("v1", 2);
     listVm(state, restarted);
     BOOST_TEST(!starts().empty());
 }
@@ -1055,7 +1056,7 @@
     addVm("v1");
     auto earlier = state.vms.at("v1").entry;
     earlier.bootTime = 1;
-    reportEmpty("v1", 2);
+    restartEmpty("v1", 2);
     listVm(state, earlier);
     submit("j1", { makeStep(1) });
     BOOST_REQUIRE(startAndAccept().size() == 1u);
--- a/src/libscheduler/vm_restart_test.cpp
+++ b/src/libscheduler/vm_restart_test.cpp
@@ -37,6 +37,42 @@
         return entry;
     }
 
+    /// Starts the only task of job j1; the start gets no response.
+    StartAction startWithoutResponse()
+    {
+        const auto out = starts();
+        BOOST_REQUIRE(out.size() == 1U);
+        const auto& command = out[0].command;
+        findTask(state, command.task)->run->sentAt = clock.now();
+        applyStartOutcome(state, out[0].vm, command.task, command.run, CommandOutcome::Unknown, clock.now());
+        return out[0];
+    }
+
+    /// Lets the VM confirm the stop of a start, so that the run is released.
+    void releaseByStop(const StartAction& start)
+    {
+        BOOST_REQUIRE(planStops(state, clock.now()).size() == 1U);
+        applyStopOutcome(state, start.vm, start.command.task, start.command.run, CommandOutcome::Accepted,
+            clock.now(), clock.now());
+        advance(10ms);
+        reportEmpty(start.vm);
+        BOOST_REQUIRE(!findTask(state, start.command.task)->run);
+    }
+
+    /// Checks that the VM gets no starts, no lease and no acknowledgements.
+    void checkGetsNothing(const std::string& vm)
+    {
+        const auto job = "probe" + std::to_string(m_probes++);
+        submit(job, { makeStep(1) });
+        const auto planned = starts();
+        BOOST_TEST(std::none_of(
+            planned.begin(), planned.end(), [&](const StartAction& start) { return start.vm == vm; }));
+        cancelJob(state, job);
+        const auto heartbeat = planHeartbeat(state.vms.at(vm), state.limits, clock.now());
+        BOOST_TEST(heartbeat.leaseUntil.count() == 0);
+        BOOST_TEST(heartbeat.acknowledged == 0U);
+    }
+
     /// Lets the VM fall silent and its lease expire, so that its runs are released.
     void expireLeaseOf(const std::string& vm)
     {
@@ -57,6 +93,9 @@
         expireLeases(state, clock.now());
         BOOST_TEST(!task("j1", 0, 0).run.has_value());
     }
+
+private:
+    int m_probes = 0;
 };
 
 } // namespace
@@ -209,7 +248,7 @@
     submit("j1", { makeStep(1, 1000) });
     BOOST_TEST(starts().empty());
     BOOST_TEST(isReportDue(state.vms.at("v1"), state.limits, clock.now()));
-    reportEmpty("v1", 400);
+    restartEmpty("v1", 400);
     BOOST_TEST(starts().empty());
     submit("j2", { makeStep(1, 500) });
     BOOST_TEST(starts().size() == 1U);
@@ -295,4 +334,169 @@
     BOOST_TEST(!state.vms.at("v1").hasEnded);
 }
 
+// The new boot has seen no fencing token, so it carried out a start of the earlier one whose run had been
+// released and whose task ran elsewhere.
+BOOST_AUTO_TEST_CASE(vmThatHasRestartedGetsNothingBeforeItHasSeenAHigherToken)
+{
+    addVm("v1");
+    submit("j1", { makeStep(2) });
+    const auto first = startAndAccept();
+    BOOST_REQUIRE(first.size() == 2U);
+    const auto token = state.vms.at("v1").fencingToken;
+    advance(100ms);
+    apply("v1", listing(first[0], 2));
+    BOOST_TEST(isNewTokenRequired(state));
+    state.vms.at("v1").acknowledged = 3;
+    checkGetsNothing("v1");
+    raiseToken();
+    BOOST_TEST(!isNewTokenRequired(state));
+    BOOST_TEST(state.vms.at("v1").fencingToken > token);
+    BOOST_TEST(isReportDue(state.vms.at("v1"), state.limits, clock.now()));
+    checkGetsNothing("v1");
+    advance(10ms);
+    apply("v1", listing(first[0], 2));
+    BOOST_TEST(starts().size() == 1U);
+    const auto heartbeat = planHeartbeat(state.vms.at("v1"), state.limits, clock.now());
+    BOOST_TEST(heartbeat.leaseUntil.count() > 0);
+    BOOST_TEST(heartbeat.acknowledged == 3U);
+}
+
+// A report to a heartbeat with the earlier token arrived after the token had been raised.
+BOOST_AUTO_TEST_CASE(reportToAHeartbeatWithTheEarlierTokenProvesNothing)
+{
+    addVm("v1");
+    const auto sentAt = clock.now();
+    advance(10ms);
+    reportEmpty("v1", 2);
+    advance(10ms);
+    raiseToken();
+    VmReport late;
+    late.vmClock = state.vms.at("v1").reportedClock;
+    late.bootTime = 2;
+    applyReport(state, "v1", late, sentAt, clock.now());
+    checkGetsNothing("v1");
+    advance(10ms);
+    reportEmpty("v1", 2);
+    submit("j1", { makeStep(1) });
+    BOOST_TEST(starts().size() == 1U);
+}
+
+// A VM was silent until its lease had expired. Its task was started elsewhere, and the lease that it got on
+// its return made it carry out the old start.
+BOOST_AUTO_TEST_CASE(startOfAReleasedRunIsVoidBeforeItsVmGetsALease)
+{
+    addVm("v1");
+    addVm("v2", 4000, "r1");
+    submit("j1", { makeStep(1) });
+    const auto first = startWithoutResponse();
+    expireLeaseOf(first.vm);
+    BOOST_REQUIRE(!task("j1", 0, 0).run);
+    BOOST_TEST(isNewTokenRequired(state));
+    reportEmpty(first.vm);
+    checkGetsNothing(first.vm);
+    raiseToken();
+    advance(10ms);
+    reportEmpty(first.vm);
+    BOOST_TEST((state.vms.at(first.vm).fencing == Fencing::NotRequired));
+}
+
+// The same with a VM that left the registry meanwhile, so that the holder had forgotten it.
+BOOST_AUTO_TEST_CASE(startOfAReleasedRunIsVoidBeforeAVmThatReturnsGetsALease)
+{
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    const auto first = startWithoutResponse();
+    const auto entry = state.vms.at(first.vm).entry;
+    unlistVm(state, first.vm);
+    expireLeaseOf(first.vm);
+    BOOST_REQUIRE(!state.vms.contains(first.vm));
+    listVm(state, entry);
+    reportEmpty(first.vm);
+    checkGetsNothing(first.vm);
+    raiseToken();
+    advance(10ms);
+    reportEmpty(first.vm);
+    BOOST_TEST((state.vms.at(first.vm).fencing == Fencing::NotRequired));
+    unlistVm(state, first.vm);
+    expireLeaseOf(first.vm);
+    BOOST_TEST(state.removedVms.size() == 1U);
+    advance(state.limits.maxCommandDelay);
+    expireLeases(state, clock.now());
+    BOOST_TEST(state.removedVms.empty());
+}
+
+// The stop of an unanswered start is known to one boot only. The token is raised while the VM is down, so
+// that the first command that its next boot receives makes the start void.
+BOOST_AUTO_TEST_CASE(firstHeartbeatToTheNextBootMakesAStoppedStartVoid)
+{
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    const auto first = startWithoutResponse();
+    releaseByStop(first);
+    fenceUnsettledStarts(state, first.vm, clock.now());
+    BOOST_TEST(isNewTokenRequired(state));
+    markUnresponsive(state, first.vm);
+    raiseToken();
+    advance(200ms);
+    reportEmpty(first.vm, 2);
+    BOOST_TEST(!isNewTokenRequired(state));
+    BOOST_TEST(starts().size() == 1U);
+}
+
+// A VM that is lost without such a start requires no token.
+BOOST_AUTO_TEST_CASE(tokenIsNotRaisedForAVmWithoutUnsettledStarts)
+{
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    BOOST_REQUIRE(startAndAccept().size() == 1U);
+    report("v1");
+    fenceUnsettledStarts(state, "v1", clock.now());
+    BOOST_TEST(!isNewTokenRequired(state));
+    submit("j2", { makeStep(1) });
+    const auto second = startWithoutResponse();
+    fenceUnsettledStarts(state, "v1", clock.now());
+    BOOST_TEST(isNewTokenRequired(state));
+}
+
+// An idle VM reported each 20 s; its restart went unnoticed while its next boot could carry out the start.
+BOOST_AUTO_TEST_CASE(heartbeatWaitsAtAnIdleVmWithAnUnsettledStart)
+{
+    addVm("v1");
+    submit("j1", { makeStep(1) });
+    releaseByStop(startWithoutResponse());
+    const auto& vm = state.vms.at("v1");
+    BOOST_TEST(isReportDue(vm, state.limits, clock.now()));
+    const auto heartbeat = planHeartbeat(state.vms.at("v1"), state.limits, clock.now());
+    BOOST_TEST((heartbeat.wait == state.limits.maxHeartbeatWait));
+    BOOST_TEST(heartbeat.leaseUntil.count() == 0);
+    advance(state.limits.maxCommandDelay);
+    BOOST_TEST(!isReportDue(vm, state.limits, clock.now()));
+}
+
+// A new holder knows nothing of the starts of earlier ones; a restart of an idle VM went unnoticed for up to
+// 20 s.
+BOOST_AUTO_TEST_CASE(newHolderWatchesIdleVmsWhileStartsOfEarlierOnesMayBeCarriedOut)
+{
+    state.term = 1;
+    state.earlierStartsUntil = clock.now() + state.limits.maxCommandDelay;
+    addVm("v1");
+    BOOST_TEST(isReportDue(state.vms.at("v1"), state.limits, clock.now()));
+    fenceUnsettledStarts(state, "v1", clock.now());
+    BOOST_TEST(isNewTokenRequired(state));
+}
+
+// A command that a raised token overtook was refused; the token was raised again for it, and so on.
+BOOST_AUTO_TEST_CASE(commandThatARaisedTokenOvertookRequiresNoOther)
+{
+    addVm("v1");
+    const auto token = state.vms.at("v1").fencingToken;
+    reportEmpty("v1", 2);
+    raiseToken();
+    reportEmpty("v1", 2);
+    applySuperseded(state, "v1", token);
+    BOOST_TEST(!isNewTokenRequired(state));
+    applySuperseded(state, "v1", state.vms.at("v1").fencingToken);
+    BOOST_TEST(isNewTokenRequired(state));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
