Log which VMs a new holder waits for

Cause: the log says when the recovery after a takeover is complete, but not whom it waited for.

Ruled out: logging every machine of each list; the large deployment has over a thousand.

Change: recovery_list names the first VMs that have not reported, after each list. Beside adopted and orphaned of task_run it shows a VM that was not waited for. No change of logic.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -80,6 +80,8 @@
 
     /// Requests the list of machines at intervals until the recovery after a takeover is complete.
     void requestMachineList(TimePoint now);
+    /// Logs which VMs the recovery after a takeover waits for.
+    void logAwaitedVms();
     /// Logs once that the recovery after a takeover is complete.
     void logRecovery(TimePoint now);
     void applyEvacuation(VmState& vm) const;
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -21,6 +21,10 @@
 /// by page and may lack a VM whose machine changes its pool meanwhile.
 void applyPlatformVms(PoolState& state, std::set<std::string> vms);
 
+/// VMs on which runs of an earlier holder may be unknown: those of PoolState::platformVms that have not
+/// reported.
+std::vector<std::string> findAwaitedVms(const PoolState& state);
+
 /// Whether every run that an earlier holder started is known or has ended, so that the tasks of recovered
 /// jobs may be started.
 bool isRecoveryComplete(const PoolState& state, TimePoint now);
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds loadLogInterval { 1000 };
 /// Most steps with waiting long-running tasks that are logged at a time.
 constexpr std::size_t maxLoggedWaitingSteps = 4;
+/// Most VMs that are logged by name while a recovery waits for them.
+constexpr std::size_t maxLoggedAwaitedVms = 8;
 /// Transaction entries besides the writes: the expectation on the lease row.
 constexpr std::size_t reservedEntries = 1;
 /// Interval of the machine lists that show which VMs a new holder has to hear from.
@@ -125,10 +127,22 @@
                     vms.insert(machine.vm);
             }
             applyPlatformVms(m_state, std::move(vms));
+            logAwaitedVms();
             scheduleReconcile(reconcileDelay);
         });
 }
 
+void PoolHolder::logAwaitedVms()
+{
+    const auto awaited = findAwaitedVms(m_state);
+    std::string names;
+    for (std::size_t i = 0; i < std::min(awaited.size(), maxLoggedAwaitedVms); ++i)
+        names += (names.empty() ? "" : ",") + awaited[i];
+    logEvent(LogLevel::Info, "recovery_list",
+        { { "pool", m_state.pool }, { "vms", std::to_string(m_state.platformVms->size()) },
+            { "awaited", std::to_string(awaited.size()) }, { "first_awaited", names } });
+}
+
 void PoolHolder::logRecovery(TimePoint now)
 {
     if (!m_isRecovering || !isRecoveryComplete(m_state, now))
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -335,16 +335,23 @@
     state.omittedPlatformVms = std::move(omitted);
 }
 
+std::vector<std::string> findAwaitedVms(const PoolState& state)
+{
+    std::vector<std::string> out;
+    if (!state.platformVms)
+        return out;
+    for (const auto& id : *state.platformVms) {
+        const auto vm = state.vms.find(id);
+        if (vm == state.vms.end() || !vm->second.hasReported)
+            out.push_back(id);
+    }
+    return out;
+}
+
 bool isRecoveryComplete(const PoolState& state, TimePoint now)
 {
-    if (now >= state.recoveryDeadline)
-        return true;
     // VMs that only the registry lists don't matter: they have ended.
-    return state.platformVms
-        && std::all_of(state.platformVms->begin(), state.platformVms->end(), [&](const std::string& id) {
-               const auto vm = state.vms.find(id);
-               return vm != state.vms.end() && vm->second.hasReported;
-           });
+    return now >= state.recoveryDeadline || (state.platformVms && findAwaitedVms(state).empty());
 }
 
 std::vector<StartAction> planStarts(PoolState& state, TimePoint now, WallTime wallNow, int maxStarts)
