Wait after a takeover for registered VMs and for unreadable machines too

Cause: the first list of machines after a takeover decided alone which VMs a new holder waits for. A VM that ran tasks of the earlier holder was not waited for if it was on no page (the list is read page by page while machines change), if its machine's pool or state could not be read (decodeMachine made it Down), or if the machine was listed as down with its VM. Tasks of recovered jobs were then started beside it.

Ruled out: waiting for everything that is registered. A VM that was cut off reported to its new holder at once.

Change: the holder waits for the VMs that are registered or listed for the pool at the first list. One is taken off when it has reported, when a list shows that its machine runs no VM or another one, or when two lists in a row and the registry lack it. A machine with a field that can't be read is Unknown, and says nothing about the end of a VM. The coordinator leaves such a machine where it is.

--- a/src/include/damaskworks/endpoint_control.h
+++ b/src/include/damaskworks/endpoint_control.h
@@ -169,7 +169,13 @@
 };
 
 /// State of a machine.
-enum class MachineState { Up, Moving, Maintenance, Down };
+enum class MachineState {
+    Up,
+    Moving,
+    Maintenance,
+    Down,
+    Unknown, ///< a field of the machine can't be read
+};
 
 /// A machine. Each move and each maintenance replaces its VM.
 struct Machine {
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -16,10 +16,10 @@
 std::vector<StartAction> planStarts(
     PoolState& state, TimePoint now, WallTime wallNow, int maxStarts = std::numeric_limits<int>::max());
 
-/// Applies a list of the pool's VMs, requested after the takeover. VMs that only a later list contains joined
-/// since, so no earlier holder has used them. One that two lists in a row lack is gone: a list is read page
-/// by page and may lack a VM whose machine changes its pool meanwhile.
-void applyPlatformVms(PoolState& state, std::set<std::string> vms);
+/// Applies a list of all machines, requested after the takeover. VMs that joined after the first list have
+/// run nothing for an earlier holder. A list is read page by page and may lack a VM that runs. So a VM has
+/// ended only if its machine runs no VM or another one, or if two lists in a row and the registry lack it.
+void applyMachineList(PoolState& state, const std::vector<Machine>& machines);
 
 /// VMs on which runs of an earlier holder may be unknown: those of PoolState::platformVms that have not
 /// reported.
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -282,8 +282,8 @@
     /// After a takeover: until then tasks of recovered jobs may run on VMs that have not reported, and VMs
     /// may have leases that an earlier holder has granted.
     TimePoint recoveryDeadline {};
-    /// VMs that an earlier holder may have used, according to the platform; the registry may lack some of
-    /// them for a while after an outage. Empty optional: the platform has not responded yet.
+    /// VMs that an earlier holder may have used: those that were registered or listed by the platform at the
+    /// takeover and have not ended since. Empty optional: the platform has not responded yet.
     std::optional<std::set<std::string>> platformVms;
     std::set<std::string> omittedPlatformVms; ///< of platformVms, those that the last list lacked
     std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -121,12 +121,7 @@
                         { "outcome", std::string(nameOf(commandOutcomeNames, machines.error())) } });
                 return; // the holder then waits until the VMs' leases have expired
             }
-            std::set<std::string> vms;
-            for (const auto& machine : *machines) {
-                if (machine.pool == m_state.pool && machine.state == MachineState::Up && !machine.vm.empty())
-                    vms.insert(machine.vm);
-            }
-            applyPlatformVms(m_state, std::move(vms));
+            applyMachineList(m_state, *machines);
             logAwaitedVms();
             scheduleReconcile(reconcileDelay);
         });
--- a/src/libscheduler/pool_fixture_test.h
+++ b/src/libscheduler/pool_fixture_test.h
@@ -51,6 +51,18 @@
         listVm(state, entry);
     }
 
+    /// Machine of the pool that runs the VM, as addVm() registers it.
+    static Machine machineOf(const std::string& vm) { return { "m-" + vm, "pricing", MachineState::Up, vm }; }
+
+    /// Applies a list of the machines of these VMs.
+    void listMachinesOf(const std::vector<std::string>& vms)
+    {
+        std::vector<Machine> machines;
+        for (const auto& vm : vms)
+            machines.push_back(machineOf(vm));
+        applyMachineList(state, machines);
+    }
+
     static StepSpec makeStep(int count, std::int64_t cpu = 1000)
     {
         StepSpec out;
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -307,6 +307,37 @@
     return out;
 }
 
+/// VMs that run on machines of the pool. Maintenance and moves end a machine's VM as they begin.
+std::set<std::string> findListedVms(const PoolState& state, const std::vector<Machine>& machines)
+{
+    std::set<std::string> out;
+    for (const auto& machine : machines) {
+        const bool mayBeOfPool = machine.pool == state.pool || machine.pool.empty();
+        if (!mayBeOfPool || machine.vm.empty() || machine.state == MachineState::Moving
+            || machine.state == MachineState::Maintenance)
+            continue;
+        out.insert(machine.vm);
+    }
+    return out;
+}
+
+/// Whether the machine's entry in a list shows that VM \p id has ended.
+bool isWithoutVm(const Machine& machine, std::string_view id)
+{
+    switch (machine.state) {
+    case MachineState::Moving:
+    case MachineState::Maintenance:
+        return true;
+    case MachineState::Up:
+        return !machine.vm.empty() && machine.vm != id;
+    case MachineState::Down:
+        return machine.vm != id;
+    case MachineState::Unknown:
+        break;
+    }
+    return false;
+}
+
 std::set<TaskId> findOrphanTasks(const PoolState& state)
 {
     std::set<TaskId> out;
@@ -319,18 +350,30 @@
 
 } // namespace
 
-void applyPlatformVms(PoolState& state, std::set<std::string> vms)
+void applyMachineList(PoolState& state, const std::vector<Machine>& machines)
 {
+    const auto listed = findListedVms(state, machines);
     if (!state.platformVms) {
-        state.platformVms = std::move(vms);
-        return;
+        state.platformVms = listed;
+        for (const auto& [id, vm] : state.vms)
+            state.platformVms->insert(id);
     }
+    std::map<std::string_view, const Machine*> machinesById;
+    for (const auto& machine : machines)
+        machinesById.insert_or_assign(machine.id, &machine); // the later page is newer
     std::set<std::string> omitted;
     std::erase_if(*state.platformVms, [&](const std::string& id) {
-        if (vms.contains(id))
+        if (listed.contains(id))
             return false;
+        const auto vm = state.vms.find(id);
+        if (vm != state.vms.end()) {
+            const auto machine = machinesById.find(vm->second.entry.machine);
+            if (machine != machinesById.end() && isWithoutVm(*machine->second, id))
+                return true;
+        }
         omitted.insert(id);
-        return state.omittedPlatformVms.contains(id);
+        const bool isRegistered = vm != state.vms.end() && vm->second.isRegistered;
+        return !isRegistered && state.omittedPlatformVms.contains(id);
     });
     state.omittedPlatformVms = std::move(omitted);
 }
@@ -350,7 +393,6 @@
 
 bool isRecoveryComplete(const PoolState& state, TimePoint now)
 {
-    // VMs that only the registry lists don't matter: they have ended.
     return now >= state.recoveryDeadline || (state.platformVms && findAwaitedVms(state).empty());
 }
 
