Tests: a request that an endpoint may have received counts as sent

Looked at for it, by reading and test: a reused connection that closes as the request goes out, a connection that is reset after the last byte was written, a command that times out while it waits for a connection (tested before).

--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -216,6 +216,39 @@
     BOOST_TEST(endpoint.connections() == 1);
 }
 
+// A command that may have been received counted as one that was never sent, so that its task was started
+// elsewhere.
+BOOST_FIXTURE_TEST_CASE(requestOnAReusedConnectionThatClosesMayHaveBeenSent, ClientFixture)
+{
+    RawEndpoint endpoint(loop.base(), [&](const auto& connection, const std::string& request) {
+        if (request.find("/first") != std::string::npos)
+            return connection->send(okResponse);
+        connection->close();
+    });
+    BOOST_TEST(send(endpoint, "/first")->body == "ok");
+    const auto result = send(endpoint, "/next");
+    BOOST_REQUIRE(!result);
+    BOOST_TEST(result.error().mayHaveBeenSent);
+    BOOST_TEST(endpoint.requests().size() == 2U);
+    BOOST_TEST(endpoint.connections() == 1);
+}
+
+// The same with a connection that is closed with unread input, so that it is reset.
+BOOST_FIXTURE_TEST_CASE(requestThatWasSentBeforeAResetMayHaveBeenSent, ClientFixture)
+{
+    RawEndpoint endpoint(loop.base(), [](const auto&, const std::string&) {});
+    endpoint.setReadingDisabled(true);
+    std::optional<HttpResult> result;
+    client.send(
+        endpoint.address(), { .path = "/" }, 2s, [&](HttpResult response) { result = std::move(response); });
+    runPendingEvents();
+    BOOST_REQUIRE(!result);
+    endpoint.closeAll();
+    BOOST_REQUIRE(loop.runUntil([&] { return result.has_value(); }, 5s));
+    BOOST_REQUIRE(!result->has_value());
+    BOOST_TEST(result->error().mayHaveBeenSent);
+}
+
 namespace {
 
 /// Sends a response of ten bytes: one when the request arrives, then one more every \p interval, of \p count.
