Log why suspect tasks wait for their trials

No line of the log said how many suspect tasks wait, for how long, or what keeps them from a VM; serving_tasks_wait counts those of long-running steps alone.

Two obstacles are new: too soon after another start, and enough VMs with trials. No change of behaviour.

Evidence: waitingSuspectsAreDescribedForTheLog (its function is new, so it can't fail before); scheduler_test passes.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -116,7 +116,8 @@
     void publishLoad(TimePoint now);
     void logLoad(TimePoint now);
     /// Logs now and then why long-running tasks wait.
-    void logWaitingServingTasks(TimePoint now);
+    void logWaitingTasks(TimePoint now);
+    void logWaitingSuspects(TimePoint now);
     void logRunEvents();
 
     HolderContext m_context;
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -47,6 +47,8 @@
     OrphanRuns,
     Quarantined,
     Trial, ///< it runs or awaits the trial of a suspect task
+    RecentStart, ///< too soon after another start for a trial
+    TrialLimit, ///< it could run a trial, but enough VMs do
     Label,
     MaxPerVm, ///< it runs as many tasks of the step as may share a VM
     TooSmall, ///< for the task even without other runs
@@ -56,7 +58,7 @@
     Ticket,
 };
 
-inline constexpr NameTable<PlacementObstacle, 17> placementObstacleNames { {
+inline constexpr NameTable<PlacementObstacle, 19> placementObstacleNames { {
     { PlacementObstacle::None, "none" },
     { PlacementObstacle::Unregistered, "unregistered" },
     { PlacementObstacle::NotReported, "not_reported" },
@@ -67,6 +69,8 @@
     { PlacementObstacle::OrphanRuns, "orphan_runs" },
     { PlacementObstacle::Quarantined, "quarantined" },
     { PlacementObstacle::Trial, "trial" },
+    { PlacementObstacle::RecentStart, "recent_start" },
+    { PlacementObstacle::TrialLimit, "trial_limit" },
     { PlacementObstacle::Label, "label" },
     { PlacementObstacle::MaxPerVm, "max_per_vm" },
     { PlacementObstacle::TooSmall, "too_small" },
@@ -89,6 +93,18 @@
 std::vector<WaitingServingStep> findWaitingServingSteps(
     const PoolState& state, TimePoint now, std::size_t limit);
 
+/// Suspect tasks that wait for their trial.
+struct WaitingSuspects {
+    int tasks = 0;
+    int longTrials = 0; ///< of these, those whose trial is a long one
+    milliseconds longest { 0 }; ///< since a planning pass first found no VM
+    TaskId longestTask; ///< which has waited so long
+    std::map<PlacementObstacle, int> vms; ///< number of the pool's VMs by what keeps that task from them
+};
+
+/// The suspect tasks that wait in steps that are ready, for the log.
+WaitingSuspects findWaitingSuspects(PoolState& state, TimePoint now);
+
 /// A command that sets the share of its CPU that a task may use.
 struct ThrottleAction {
     std::string vm;
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -70,6 +70,7 @@
     int trialCrashes = 0; ///< of these, those that crashed during the trial of its run
     int provenTrialCrashes = 0; ///< of these, those where a later boot or another VM has responded since
     bool isSuspect = false; ///< may have caused a crash; its runs begin with a trial
+    TimePoint waitsForTrialSince {}; ///< when a pass first found no VM for its trial; zero: it waits for none
     std::optional<EarlierRun> earlierRun; ///< not yet known whether it ended with a crash of its VM
     /// A VM has listed a run of the task as running to this holder, so no run of an earlier holder is
     /// unknown.
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -38,6 +38,16 @@
     return false;
 }
 
+/// Numbers of VMs by obstacle, such as "memory:12,max_per_vm:3".
+std::string formatObstacles(const std::map<PlacementObstacle, int>& vms)
+{
+    std::string out;
+    for (const auto& [obstacle, count] : vms)
+        out += (out.empty() ? "" : ",") + std::string(nameOf(placementObstacleNames, obstacle)) + ":"
+            + std::to_string(count);
+    return out;
+}
+
 } // namespace
 
 PoolHolder::PoolHolder(HolderContext context, std::string pool, AcquiredLease lease, LeaseTiming leaseTiming,
@@ -278,7 +288,7 @@
     removeEndedJobs();
     markDirtyIfNeeded();
     publishLoad(now);
-    logWaitingServingTasks(now);
+    logWaitingTasks(now);
     const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
     scheduleReconcile(isIdle ? idleReconcileInterval : reconcileInterval);
 }
@@ -341,23 +351,32 @@
             { "starts_limited", m_state.areStartsLimited ? "yes" : "no" } });
 }
 
-void PoolHolder::logWaitingServingTasks(TimePoint now)
+void PoolHolder::logWaitingTasks(TimePoint now)
 {
     if (now - m_waitingLoggedAt < loadLogInterval)
         return;
     m_waitingLoggedAt = now;
-    for (const auto& waiting : findWaitingServingSteps(m_state, now, maxLoggedWaitingSteps)) {
-        std::string vms;
-        for (const auto& [obstacle, count] : waiting.vms)
-            vms += (vms.empty() ? "" : ",") + std::string(nameOf(placementObstacleNames, obstacle)) + ":"
-                + std::to_string(count);
+    for (const auto& waiting : findWaitingServingSteps(m_state, now, maxLoggedWaitingSteps))
         logEvent(LogLevel::Info, "serving_tasks_wait",
             { { "step", toString(waiting.step) }, { "pool", m_state.pool },
                 { "tasks", std::to_string(waiting.tasks) },
                 { "suspect", std::to_string(waiting.suspectTasks) },
                 { "cpu", std::to_string(waiting.need.cpu) },
-                { "memory_mb", std::to_string(waiting.need.memoryMb) }, { "vms", vms } });
-    }
+                { "memory_mb", std::to_string(waiting.need.memoryMb) },
+                { "vms", formatObstacles(waiting.vms) } });
+    logWaitingSuspects(now);
+}
+
+void PoolHolder::logWaitingSuspects(TimePoint now)
+{
+    const auto waiting = findWaitingSuspects(m_state, now);
+    if (waiting.tasks == 0)
+        return;
+    logEvent(LogLevel::Info, "suspect_tasks_wait",
+        { { "pool", m_state.pool }, { "tasks", std::to_string(waiting.tasks) },
+            { "long_trials", std::to_string(waiting.longTrials) },
+            { "longest_ms", std::to_string(waiting.longest.count()) },
+            { "longest_task", toString(waiting.longestTask) }, { "vms", formatObstacles(waiting.vms) } });
 }
 
 LedgerBatch PoolHolder::collectBatch()
--- a/src/libscheduler/crash_attribution_test.cpp
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -546,4 +546,25 @@
     BOOST_TEST(task("j1", 0, 0).crashes == 1);
 }
 
+// Nothing in the log said why suspect tasks waited.
+BOOST_FIXTURE_TEST_CASE(waitingSuspectsAreDescribedForTheLog, PoolFixture)
+{
+    addVm("v1");
+    addVm("v2");
+    submit("j1", { makeStep(3) });
+    for (int i = 0; i < 3; ++i)
+        findTask(state, { "j1", 0, 0, i })->isSuspect = true;
+    findTask(state, { "j1", 0, 0, 2 })->crashes = state.limits.crashesBeforeLongTrial;
+    BOOST_TEST(starts().size() == 1u);
+    advance(100ms);
+    const auto waiting = findWaitingSuspects(state, clock.now());
+    BOOST_TEST(waiting.tasks == 2);
+    BOOST_TEST(waiting.longTrials == 1);
+    BOOST_TEST((waiting.longest == 100ms));
+    BOOST_TEST(toString(waiting.longestTask) == "j1.0.0.1");
+    const std::map<PlacementObstacle, int> expected { { PlacementObstacle::Trial, 1 },
+        { PlacementObstacle::TrialLimit, 1 } };
+    BOOST_TEST((waiting.vms == expected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -198,15 +198,15 @@
         && (!needsTicket(state, job) || hasTicket(stepAdvice(job, id), vm, now));
 }
 
-PlacementObstacle findObstacle(
+namespace {
+
+/// First reason of the VM's labels, its room or a missing ticket for which it can't take the task; None if
+/// there is none.
+PlacementObstacle findTaskObstacle(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
 {
     using enum PlacementObstacle;
     const auto& step = stepOf(job, id.step);
-    if (const auto obstacle = findVmObstacle(vm, now); obstacle != None)
-        return obstacle;
-    if (vm.trialTask || now < vm.reservedUntil)
-        return Trial;
     if (!hasLabel(vm, step.requiredLabel))
         return Label;
     if (step.maxPerVm > 0 && countSiblings(vm, id) >= step.maxPerVm)
@@ -224,6 +224,32 @@
     return needsTicket(state, job) && !hasTicket(stepAdvice(job, id), vm, now) ? Ticket : None;
 }
 
+} // namespace
+
+PlacementObstacle findObstacle(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    using enum PlacementObstacle;
+    if (const auto obstacle = findVmObstacle(vm, now); obstacle != None)
+        return obstacle;
+    if (vm.trialTask || now < vm.reservedUntil)
+        return Trial;
+    return findTaskObstacle(state, vm, job, id, now);
+}
+
+PlacementObstacle findTrialObstacle(
+    PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    using enum PlacementObstacle;
+    if (const auto obstacle = findVmObstacle(vm, now); obstacle != None)
+        return obstacle;
+    if (vm.trialTask)
+        return Trial;
+    if (const auto obstacle = findTaskObstacle(state, vm, job, id, now); obstacle != None)
+        return obstacle;
+    return isQuiet(state, vm, now) ? TrialLimit : RecentStart;
+}
+
 VmState* chooseTrialVm(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now)
 {
     const auto& step = stepOf(job, id.step);
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -29,6 +29,10 @@
 PlacementObstacle findObstacle(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
 
+/// First reason for which the VM can't take the trial of a suspect task now.
+PlacementObstacle findTrialObstacle(
+    PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
+
 /// Ticket of the advice service for the task on the VM; empty if there is none.
 std::string ticketFor(const JobEntry& job, const TaskId& id, std::string_view vm);
 
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -143,6 +143,7 @@
         vm.reservedUntil = TimePoint {};
     }
     vm.lastStartAt = now;
+    task.waitsForTrialSince = TimePoint {};
     dropReservation(state, id);
     placeRun(state, vm, id, task, run);
     if (job.firstStartAt == TimePoint {})
@@ -202,6 +203,8 @@
         auto* vm
             = task.isSuspect ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
         if (!vm && task.isSuspect) {
+            if (task.waitsForTrialSince == TimePoint {})
+                task.waitsForTrialSince = now;
             recordMissingTicket(state, waiting);
             continue;
         }
@@ -307,6 +310,26 @@
     return out;
 }
 
+/// Adds the waiting suspect tasks of a step.
+void addWaitingSuspects(
+    const JobEntry& job, const StepId& id, const PoolLimits& limits, TimePoint now, WaitingSuspects& out)
+{
+    const auto& tasks = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        const auto& task = tasks[i];
+        if (task.done || task.run || !task.isSuspect)
+            continue;
+        out.longTrials += trialLength(task, limits) == limits.longTrial;
+        const auto waited = task.waitsForTrialSince == TimePoint {}
+            ? milliseconds(0)
+            : std::chrono::duration_cast<milliseconds>(now - task.waitsForTrialSince);
+        if (++out.tasks > 1 && waited <= out.longest)
+            continue;
+        out.longest = waited;
+        out.longestTask = { job.spec.id, id.occurrence, id.step, static_cast<int>(i) };
+    }
+}
+
 std::set<TaskId> findOrphanTasks(const PoolState& state)
 {
     std::set<TaskId> out;
@@ -404,6 +427,27 @@
     return out;
 }
 
+WaitingSuspects findWaitingSuspects(PoolState& state, TimePoint now)
+{
+    WaitingSuspects out;
+    for (const auto& [id, job] : state.jobs) {
+        if (isFinal(job.state))
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+                if (isStepReady(job, occurrence, s))
+                    addWaitingSuspects(job, { id, number, s }, state.limits, now, out);
+            }
+        }
+    }
+    if (out.tasks == 0)
+        return out;
+    const auto& job = state.jobs.find(out.longestTask.job)->second;
+    for (const auto& [name, vm] : state.vms)
+        ++out.vms[findTrialObstacle(state, vm, job, out.longestTask, now)];
+    return out;
+}
+
 std::optional<WallTime> nextDue(const PoolState& state)
 {
     std::optional<WallTime> next;
