Let suspect tasks use all VMs while no other task waits

Cause: trials take half of the usable VMs at most, so that other tasks find VMs. The limit held too when none but suspect tasks waited.

Change: after a pass that leaves no other task waiting, short trials may take all VMs.

--- a/src/libscheduler/crash_attribution_test.cpp
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -57,6 +57,46 @@
         return job == state.jobs.end() ? m_ended.at(id) : job->second.state;
     }
 
+    /// Loses all VMs at once; none of their tasks has caused it.
+    void loseVms()
+    {
+        for (const auto& [name, vm] : std::map(m_vms)) {
+            if (vm.isUp)
+                crash(name);
+        }
+    }
+
+    /// Runs until the condition holds or \p limit has passed, and returns the time that it took.
+    template <typename Condition> milliseconds runUntil(Condition condition, milliseconds limit)
+    {
+        const auto begin = clock.now();
+        while (!condition() && clock.now() - begin < limit)
+            run(10ms);
+        return std::chrono::duration_cast<milliseconds>(clock.now() - begin);
+    }
+
+    int countJobs() const { return static_cast<int>(state.jobs.size()); }
+
+    int countWaiting()
+    {
+        int count = 0;
+        for (const auto& [id, job] : state.jobs) {
+            for (const auto& task : job.occurrences.at(0).steps[0].tasks)
+                count += !task.done && !task.run;
+        }
+        return count;
+    }
+
+    int countSuspects()
+    {
+        int count = 0;
+        for (const auto& [id, job] : state.jobs) {
+            for (const auto& task : job.occurrences.at(0).steps[0].tasks)
+                count += task.isSuspect && !task.done;
+        }
+        return count;
+    }
+
     std::map<TaskId, int> crashes;
     std::map<TaskId, int> startsAfterThreeCrashes;
     int doubleRuns = 0;
@@ -328,6 +368,17 @@
     }
 }
 
+// Half of the VMs stood idle while suspect tasks alone waited for trials.
+BOOST_FIXTURE_TEST_CASE(trialsUseAllVmsIfNoOtherTaskWaits, PoolFixture)
+{
+    for (const auto* vm : { "v1", "v2", "v3", "v4" })
+        addVm(vm);
+    submit("j1", { makeStep(8) });
+    for (int i = 0; i < 8; ++i)
+        findTask(state, { "j1", 0, 0, i })->isSuspect = true;
+    BOOST_TEST(starts().size() == 4u);
+}
+
 BOOST_AUTO_TEST_CASE(crashesAreCountedAcrossHandOvers)
 {
     for (const milliseconds handOver : { 2s, 3s, 4s, 5s, 7s }) {
@@ -555,6 +606,7 @@
     for (int i = 0; i < 3; ++i)
         findTask(state, { "j1", 0, 0, i })->isSuspect = true;
     findTask(state, { "j1", 0, 0, 2 })->crashes = state.limits.crashesBeforeLongTrial;
+    submit("j2", { makeStep(1, 8000) }); // waits, so that trials take half of the VMs
     BOOST_TEST(starts().size() == 1u);
     advance(100ms);
     const auto waiting = findWaitingSuspects(state, clock.now());
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -1,5 +1,6 @@
 #include "placement_choice_pvt.h"
 
+#include "crash_attribution_pvt.h"
 #include "pool_state_pvt.h"
 #include "serving_reservations_pvt.h"
 
@@ -250,7 +251,8 @@
     return isQuiet(state, vm, now) ? TrialLimit : RecentStart;
 }
 
-VmState* chooseTrialVm(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now)
+VmState* chooseTrialVm(
+    PoolState& state, const JobEntry& job, const TaskId& id, TrialShare share, TimePoint now)
 {
     const auto& step = stepOf(job, id.step);
     const bool requiresTicket = needsTicket(state, job);
@@ -278,8 +280,10 @@
             next = &vm;
         }
     }
+    const bool mayTakeAll = share == TrialShare::All
+        && trialLength(*findTask(state, id), state.limits) < state.limits.longTrial;
     // A gang starts whole or not at all.
-    const bool mayTakeAnother = step.gang || taken < std::max(1, available / 2);
+    const bool mayTakeAnother = step.gang || mayTakeAll || taken < std::max(1, available / 2);
     if (quiet && (mayTakeAnother || now < quiet->reservedUntil))
         return quiet;
     if (next && mayTakeAnother)
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -36,9 +36,16 @@
 /// Ticket of the advice service for the task on the VM; empty if there is none.
 std::string ticketFor(const JobEntry& job, const TaskId& id, std::string_view vm);
 
+/// How many of the available VMs may have a trial or be reserved for one.
+enum class TrialShare {
+    Half, ///< tasks that are not suspect wait too
+    All, ///< the same for short trials only; long ones leave VMs to tasks that come later
+};
+
 /// VM on which a suspect task should start its trial now; nullptr if it has to wait. Reserves a VM for
-/// suspect tasks if none is quiet; at most half of the available VMs are reserved or have a trial.
-VmState* chooseTrialVm(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now);
+/// suspect tasks if none is quiet.
+VmState* chooseTrialVm(
+    PoolState& state, const JobEntry& job, const TaskId& id, TrialShare share, TimePoint now);
 
 /// Whether the job's tasks may run only on VMs with a ticket of the advice service.
 bool needsTicket(const PoolState& state, const JobEntry& job);
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -200,8 +200,8 @@
         const TaskId id { job.spec.id, waiting.occurrence, waiting.step, static_cast<int>(i) };
         if (blocks.orphanTasks.contains(id))
             continue;
-        auto* vm
-            = task.isSuspect ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
+        auto* vm = task.isSuspect ? chooseTrialVm(state, job, id, TrialShare::Half, now)
+                                  : chooseVm(state, job, id, waited, now);
         if (!vm && task.isSuspect) {
             if (task.waitsForTrialSince == TimePoint {})
                 task.waitsForTrialSince = now;
@@ -268,8 +268,8 @@
     std::vector<VmBeforeStart> before;
     id.index = 0;
     for (auto& task : step.tasks) {
-        auto* vm
-            = trial.count() > 0 ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
+        auto* vm = trial.count() > 0 ? chooseTrialVm(state, job, id, TrialShare::Half, now)
+                                     : chooseVm(state, job, id, waited, now);
         if (!vm)
             break;
         before.push_back({ vm, vm->lastStartAt, vm->trialTask, vm->reservedUntil });
@@ -292,6 +292,44 @@
     job.hasUnrecordedTrial = hadUnrecordedTrial;
 }
 
+/// Whether a task that is not suspect still waits in the step.
+bool hasOtherWaitingTask(const WaitingStep& waiting, const StartBlocks& blocks)
+{
+    const auto& occurrence = waiting.job->occurrences.at(waiting.occurrence);
+    const bool hasUnknownRuns = mayHaveUnknownRuns(*waiting.job, occurrence, waiting.step, blocks);
+    const auto& tasks = occurrence.steps[static_cast<std::size_t>(waiting.step)].tasks;
+    return std::any_of(tasks.begin(), tasks.end(),
+        [&](const TaskState& task) { return !task.isSuspect && isWaiting(task, hasUnknownRuns); });
+}
+
+/// Starts trials on the VMs that no other task needs.
+void placeRemainingSuspects(PoolState& state, const std::vector<WaitingStep>& waiting,
+    const StartBlocks& blocks, TimePoint now, std::size_t maxStarts, std::vector<StartAction>& out)
+{
+    if (std::any_of(waiting.begin(), waiting.end(),
+            [&](const WaitingStep& step) { return hasOtherWaitingTask(step, blocks); }))
+        return;
+    for (const auto& step : waiting) {
+        auto& job = *step.job;
+        if (stepOf(job, step.step).gang)
+            continue;
+        auto& occurrence = job.occurrences.at(step.occurrence);
+        const bool hasUnknownRuns = mayHaveUnknownRuns(job, occurrence, step.step, blocks);
+        TaskId id { job.spec.id, step.occurrence, step.step, -1 };
+        for (auto& task : occurrence.steps[static_cast<std::size_t>(step.step)].tasks) {
+            ++id.index;
+            if (out.size() >= maxStarts)
+                return;
+            if (!isWaiting(task, hasUnknownRuns) || blocks.orphanTasks.contains(id))
+                continue;
+            auto* vm = chooseTrialVm(state, job, id, TrialShare::All, now);
+            if (vm)
+                out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint,
+                    trialLength(task, state.limits), now));
+        }
+    }
+}
+
 WaitingServingStep describeWaiting(
     const PoolState& state, const JobEntry& job, const StepId& id, TimePoint now)
 {
@@ -402,6 +440,7 @@
         else
             placeTasks(state, step, blocks, now, wallNow, limit, failed, reservations, out);
     }
+    placeRemainingSuspects(state, waiting, blocks, now, limit, out);
     return out;
 }
 
