Let suspect tasks that have waited long share their trials

Cause: a trial is of one task, so N suspect tasks wait in proportion to N.

Change: suspect tasks that have waited 5 s for a trial start on one VM at once. A crash in that time shows no cause and counts for each, apart from those of its own trials, in the job's row too. After one such crash, three crashes in all or one in a trial of its own, a task's trials are its own, so a deadly task still crashes a bounded number of VMs. Only trials of one length are shared: a task past its short trial could be the cause while the other is charged. A crash with several runs on trial is now certain only for gangs, not for siblings of any step.

Weighed: sharing until the crash count is high (six and seven crashes of one task with hand-overs, seen in deadlyTasksAmongSharedTrialsAreGivenUpWithoutInnocentOnes with delays of 300 and 700 ms; rejected).

The deadly-task test guards the bound (at most two starts after three crashes); it can't fail without sharing.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -38,6 +38,7 @@
     TimePoint sentAt {}; ///< when this holder sent the start command or adopted the run; zero: not yet
     bool isCrashAttributed = false; ///< the crash of its VM is counted in TaskState::crashes
     milliseconds trial { 0 }; ///< length of the run's trial, see isOnTrial(); zero: none, or it has ended
+    bool isTrialShared = false; ///< other tasks may begin a trial on the VM at the same time
     bool isAtRisk = false; ///< its VM has stopped responding and may have crashed
     /// JobEntry::committedBatch has to exceed this number before a run with a trial is started: a later
     /// holder must learn of the trial.
@@ -68,7 +69,10 @@
     std::optional<RunState> run;
     int crashes = 0; ///< VMs that crashed while the task may have run on them
     int trialCrashes = 0; ///< of these, those that crashed during the trial of its run
-    int provenTrialCrashes = 0; ///< of these, those where a later boot or another VM has responded since
+    int sharedTrialCrashes
+        = 0; ///< crashes during trials that it shared with other tasks; not in trialCrashes
+    int provenTrialCrashes
+        = 0; ///< of trialCrashes, those where a later boot or another VM has responded since
     bool isSuspect = false; ///< may have caused a crash; its runs begin with a trial
     TimePoint waitsForTrialSince {}; ///< when a pass first found no VM for its trial; zero: it waits for none
     std::optional<EarlierRun> earlierRun; ///< not yet known whether it ended with a crash of its VM
@@ -163,6 +167,7 @@
     TimePoint lastContactAt {}; ///< last response to a command or heartbeat
     TimePoint lastStartAt {}; ///< when the last start was planned or sent
     std::optional<TaskId> trialTask; ///< task whose run is on trial; the VM gets no other starts
+    TimePoint sharedTrialAt {}; ///< when a shared trial was last planned; more runs join it in the same pass
     TimePoint reservedUntil {}; ///< the VM gets no starts before this time but those of suspect tasks
     Resources reserved; ///< kept free for long-running tasks, see PoolState::servingReservations
 };
@@ -218,6 +223,9 @@
     int maxProvenTrialCrashes = 2; ///< a task with as many is given up
     /// The same for all crashes during trials. A VM that is only cut off can't be told from one that is gone.
     int maxTrialCrashes = 4;
+    /// A suspect task that has waited for as long shares its trial with others that have.
+    milliseconds maxTrialWait { 5000 };
+    int maxSharedTrialCrashes = 1; ///< a task with as many has its further trials alone
     /// How long a long-running task on a draining VM waits for room on another one before it is stopped. The
     /// VM may exit a few seconds after it began to drain.
     milliseconds drainingPlacementWait { 1500 };
--- a/src/libscheduler/crash_attribution.cpp
+++ b/src/libscheduler/crash_attribution.cpp
@@ -21,6 +21,7 @@
     std::string vm;
     std::uint32_t run = 0;
     bool isOnTrial = false;
+    bool isTrialShared = false;
     bool isProven = false;
 };
 
@@ -30,6 +31,7 @@
     job.dirty = true;
     ++task.crashes;
     task.trialCrashes += crash.isOnTrial;
+    task.sharedTrialCrashes += crash.isTrialShared;
     task.provenTrialCrashes += crash.isOnTrial && crash.isProven;
     state.runEvents.push_back(
         { crash.vm, id, crash.run, crash.isOnTrial ? RunEventKind::CrashedOnTrial : RunEventKind::Crashed });
@@ -70,15 +72,16 @@
         return;
     const bool isGone = state.platformVms && !state.platformVms->contains(run.vm);
     task.isSuspect = true;
-    countCrash(state, id, task, { run.vm, run.number, run.isOnTrial, hasReported || isGone });
+    countCrash(state, id, task, { run.vm, run.number, run.isOnTrial, false, hasReported || isGone });
 }
 
-/// Whether all the runs are of one step of an occurrence.
-bool areOfOneStep(const std::vector<TaskId>& runs)
+/// Whether all the runs are of one gang.
+bool areOfOneGang(const PoolState& state, const std::vector<TaskId>& runs)
 {
     return std::all_of(runs.begin(), runs.end(), [&](const TaskId& id) {
         const auto& first = runs.front();
-        return id.job == first.job && id.occurrence == first.occurrence && id.step == first.step;
+        return id.job == first.job && id.occurrence == first.occurrence && id.step == first.step
+            && stepOf(state.jobs.find(id.job)->second, id.step).gang;
     });
 }
 
@@ -88,8 +91,15 @@
 {
     if (!task.isSuspect)
         return milliseconds(0);
-    return task.crashes - task.trialCrashes >= limits.crashesBeforeLongTrial ? limits.longTrial
-                                                                             : limits.shortTrial;
+    const int outsideTrials = task.crashes - task.trialCrashes - task.sharedTrialCrashes;
+    return outsideTrials >= limits.crashesBeforeLongTrial ? limits.longTrial : limits.shortTrial;
+}
+
+bool mayShareTrial(const TaskState& task, const PoolLimits& limits, TimePoint now)
+{
+    return task.waitsForTrialSince != TimePoint {} && now - task.waitsForTrialSince >= limits.maxTrialWait
+        && task.crashes <= limits.crashesBeforeLongTrial && task.trialCrashes == 0
+        && task.sharedTrialCrashes < limits.maxSharedTrialCrashes;
 }
 
 bool isOnTrial(const VmState& vm, const RunState& run)
@@ -167,14 +177,15 @@
             onTrial.push_back(id);
     }
     // A gang has one trial; after a takeover a VM may also have adopted runs of several tasks on trial.
-    const bool isCertain = !onTrial.empty() && areOfOneStep(onTrial);
+    const bool isCertain = onTrial.size() == 1 || (!onTrial.empty() && areOfOneGang(state, onTrial));
     for (const auto& id : onTrial.empty() ? candidates : onTrial) {
         auto& task = *findTask(state, id);
         task.run->isCrashAttributed = true;
+        const bool isShared = !isCertain && task.run->isTrialShared && isOnTrial(vm, *task.run);
         // An older run has shown for a while that it doesn't crash a VM at its start.
         const bool isYoung = task.run->sentAt + state.limits.shortTrial >= vm.lastContactAt;
         task.isSuspect = task.isSuspect || isYoung || task.crashes + 1 >= state.limits.crashesBeforeLongTrial;
-        countCrash(state, id, task, { vm.entry.id, task.run->number, isCertain, isProven });
+        countCrash(state, id, task, { vm.entry.id, task.run->number, isCertain, isShared, isProven });
     }
 }
 
@@ -184,7 +195,7 @@
     if (!step.longRunning || task.crashes == 0 || !task.run || task.run->sentAt == TimePoint {}
         || now - task.run->sentAt < limits.longTrial)
         return;
-    task.crashes = task.trialCrashes = task.provenTrialCrashes = 0;
+    task.crashes = task.trialCrashes = task.sharedTrialCrashes = task.provenTrialCrashes = 0;
     task.isSuspect = false;
     job.dirty = true;
 }
--- a/src/libscheduler/crash_attribution_pvt.h
+++ b/src/libscheduler/crash_attribution_pvt.h
@@ -10,6 +10,9 @@
 
 /// Length of the trial with which the next run of the task begins; zero if the task is not suspect.
 milliseconds trialLength(const TaskState& task, const PoolLimits& limits);
+/// Whether the task's next trial may be shared: several tasks start on a VM at once, and a crash counts for
+/// each of them without showing which one caused it.
+bool mayShareTrial(const TaskState& task, const PoolLimits& limits, TimePoint now);
 /// Whether the trial of the run has not ended. It ends with the first response of the VM after its length.
 bool isOnTrial(const VmState& vm, const RunState& run);
 /// Ends the trials that are over, so that their VMs get other starts again.
--- a/src/libscheduler/crash_attribution_test.cpp
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -368,6 +368,71 @@
     }
 }
 
+// After a loss of all VMs, trials one after the other kept tasks waiting in proportion to their number.
+BOOST_AUTO_TEST_CASE(innocentSuspectTasksStartSoonWhateverTheirNumber)
+{
+    for (const int jobs : { 5, 25, 75 }) {
+        Simulation pool(4, 5);
+        pool.runTime = 1s;
+        for (int i = 0; i < jobs; ++i)
+            pool.submitJob("job" + std::to_string(i), PoolFixture::makeStep(4, 100));
+        pool.run(50ms);
+        BOOST_TEST(pool.countWaiting() == 0);
+        pool.loseVms();
+        pool.runUntil([&] { return pool.countWaiting() > 0; }, 10s);
+        BOOST_TEST(pool.countSuspects() == jobs * 4);
+        const auto took = pool.runUntil([&] { return pool.countWaiting() == 0; }, 300s);
+        BOOST_TEST_MESSAGE(jobs * 4 << " suspect tasks started within " << took.count() << " ms");
+        BOOST_TEST((took <= 10s));
+        pool.run(2s);
+        BOOST_TEST(pool.countJobs() == 0);
+    }
+}
+
+// A task that crashes its VMs was started without bound, or failed jobs beside it, in shared trials.
+BOOST_AUTO_TEST_CASE(deadlyTasksAmongSharedTrialsAreGivenUpWithoutInnocentOnes)
+{
+    for (const bool keepsId : { false, true }) {
+        for (const milliseconds crashDelay : { 10ms, 200ms, 300ms, 700ms }) {
+            for (const milliseconds handOver : { 0s, 4s }) {
+                BOOST_TEST_CONTEXT(keepsId << " " << crashDelay.count() << " " << handOver.count())
+                {
+                    Simulation pool(
+                        4, 6, { .crashDelay = crashDelay, .keepsId = keepsId, .handOver = handOver });
+                    pool.state.limits.maxTrialWait = 1s;
+                    pool.runTime = 1s;
+                    for (int i = 0; i < 75; ++i)
+                        pool.submitJob((i % 25 == 12 ? "deadly" : "job") + std::to_string(i),
+                            PoolFixture::makeStep(4, 100));
+                    pool.run(120s);
+                    checkOutcome(pool, 75, 25);
+                }
+            }
+        }
+    }
+}
+
+// Tasks whose VMs were lost twice waited for long trials one after the other.
+BOOST_AUTO_TEST_CASE(innocentTasksLostTwiceStartSoon)
+{
+    Simulation pool(4, 7);
+    pool.runTime = 1s;
+    for (int i = 0; i < 75; ++i)
+        pool.submitJob("job" + std::to_string(i), PoolFixture::makeStep(4, 100));
+    pool.run(50ms);
+    pool.loseVms();
+    pool.run(8s + 500ms);
+    pool.loseVms();
+    pool.runUntil([&] { return pool.countWaiting() > 0; }, 10s);
+    BOOST_TEST(pool.countSuspects() > 200);
+    const auto took = pool.runUntil([&] { return pool.countWaiting() == 0; }, 300s);
+    BOOST_TEST_MESSAGE("started within " << took.count() << " ms");
+    BOOST_TEST((took <= 10s));
+    pool.run(2s);
+    for (int i = 0; i < 75; ++i)
+        BOOST_TEST((pool.stateOf("job" + std::to_string(i)) == JobState::Completed));
+}
+
 // Half of the VMs stood idle while suspect tasks alone waited for trials.
 BOOST_FIXTURE_TEST_CASE(trialsUseAllVmsIfNoOtherTaskWaits, PoolFixture)
 {
@@ -597,6 +662,36 @@
     BOOST_TEST(task("j1", 0, 0).crashes == 1);
 }
 
+// The only crash that a shared trial may end with would have been forgotten by a later holder.
+BOOST_FIXTURE_TEST_CASE(crashDuringASharedTrialCountsForEachTaskAndIsRecorded, PoolFixture)
+{
+    addVm("v1");
+    submit("j1", { makeStep(2) });
+    for (int i = 0; i < 2; ++i) {
+        auto& suspect = *findTask(state, { "j1", 0, 0, i });
+        suspect.isSuspect = true;
+        suspect.crashes = 1;
+        suspect.waitsForTrialSince = clock.now() - state.limits.maxTrialWait;
+    }
+    BOOST_TEST(startAndAccept().size() == 2u);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    advance(state.limits.maxVmLease * 2);
+    expireLeases(state, clock.now());
+    const auto record = encodeProgress(state.jobs.at("j1"));
+    state.jobs.clear();
+    submit("j1", { makeStep(2) }, true, record);
+    for (int i = 0; i < 2; ++i) {
+        auto& suspect = *findTask(state, { "j1", 0, 0, i });
+        BOOST_TEST(suspect.crashes == 2);
+        BOOST_TEST(suspect.sharedTrialCrashes == 1);
+        BOOST_TEST(suspect.trialCrashes == 0);
+        suspect.waitsForTrialSince = clock.now() - state.limits.maxTrialWait;
+    }
+    addVm("v2");
+    BOOST_TEST(starts().size() == 1u);
+}
+
 // Nothing in the log said why suspect tasks waited.
 BOOST_FIXTURE_TEST_CASE(waitingSuspectsAreDescribedForTheLog, PoolFixture)
 {
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -256,9 +256,12 @@
 {
     const auto& step = stepOf(job, id.step);
     const bool requiresTicket = needsTicket(state, job);
+    const auto& task = *findTask(state, id);
+    const bool mayShare = !step.gang && mayShareTrial(task, state.limits, now);
     int available = 0;
     int taken = 0;
     VmState* quiet = nullptr;
+    VmState* shared = nullptr;
     VmState* next = nullptr;
     for (auto& [name, vm] : state.vms) {
         if (!isAvailable(vm, now))
@@ -267,12 +270,18 @@
         const bool isReserved = now < vm.reservedUntil;
         taken += vm.trialTask || isReserved;
         const bool isOwnTrial = step.gang && vm.trialTask && isOfOneStep(*vm.trialTask, id);
-        if ((vm.trialTask && !isOwnTrial) || !suits(state, vm, step, id, OwnRun::None)
+        // After a shorter trial than its own a task could no longer be told from the others.
+        const bool isOpenTrial = mayShare && vm.trialTask && vm.sharedTrialAt == now
+            && findTask(state, *vm.trialTask)->run->trial == trialLength(task, state.limits);
+        if ((vm.trialTask && !isOwnTrial && !isOpenTrial) || !suits(state, vm, step, id, OwnRun::None)
             || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
             continue;
         if (isOwnTrial)
             return &vm;
-        if (isQuiet(state, vm, now)) {
+        if (isOpenTrial) {
+            if (!shared || vm.runs.size() < shared->runs.size())
+                shared = &vm;
+        } else if (isQuiet(state, vm, now)) {
             // A crash ends few other runs on a VM with few of them.
             if (!quiet || vm.runs.size() < quiet->runs.size())
                 quiet = &vm;
@@ -280,12 +289,14 @@
             next = &vm;
         }
     }
-    const bool mayTakeAll = share == TrialShare::All
-        && trialLength(*findTask(state, id), state.limits) < state.limits.longTrial;
+    const bool mayTakeAll
+        = share == TrialShare::All && trialLength(task, state.limits) < state.limits.longTrial;
     // A gang starts whole or not at all.
     const bool mayTakeAnother = step.gang || mayTakeAll || taken < std::max(1, available / 2);
     if (quiet && (mayTakeAnother || now < quiet->reservedUntil))
         return quiet;
+    if (shared)
+        return shared;
     if (next && mayTakeAnother)
         next->reservedUntil = now + state.limits.shortTrial * 2;
     return nullptr;
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -141,6 +141,9 @@
         job.dirty = job.hasUnrecordedTrial = true;
         vm.trialTask = id;
         vm.reservedUntil = TimePoint {};
+        run.isTrialShared = !stepOf(job, id.step).gang && mayShareTrial(task, state.limits, now);
+        if (run.isTrialShared)
+            vm.sharedTrialAt = now;
     }
     vm.lastStartAt = now;
     task.waitsForTrialSince = TimePoint {};
--- a/src/libscheduler/progress.cpp
+++ b/src/libscheduler/progress.cpp
@@ -59,7 +59,7 @@
     const auto& run = *task.run;
     if (run.isCrashAttributed || (run.trial.count() == 0 && !run.isAtRisk))
         return std::nullopt;
-    return EarlierRun { run.vm, run.vmBootTime, run.number, run.trial.count() > 0 };
+    return EarlierRun { run.vm, run.vmBootTime, run.number, run.trial.count() > 0 && !run.isTrialShared };
 }
 
 json encodeOccurrence(int number, const OccurrenceState& occurrence)
@@ -68,6 +68,7 @@
     json failed = json::array();
     json saved = json::array();
     json crashes = json::array();
+    json sharedTrialCrashes = json::array();
     json atRisk = json::array();
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         const auto& step = occurrence.steps[s];
@@ -81,6 +82,8 @@
             if (!task.done && task.crashes > 0)
                 crashes.push_back(
                     { s, i, task.crashes, task.trialCrashes, task.isSuspect, task.provenTrialCrashes });
+            if (!task.done && task.sharedTrialCrashes > 0)
+                sharedTrialCrashes.push_back({ s, i, task.sharedTrialCrashes });
             if (const auto run = runAtRisk(task))
                 atRisk.push_back({ s, i, run->number, run->vm, run->vmBootTime, run->isOnTrial });
         }
@@ -92,6 +95,8 @@
         out["saved"] = saved;
     if (!crashes.empty())
         out["crashes"] = crashes;
+    if (!sharedTrialCrashes.empty())
+        out["sharedTrialCrashes"] = sharedTrialCrashes;
     if (!atRisk.empty())
         out["atRisk"] = atRisk;
     return out;
@@ -158,6 +163,13 @@
     return true;
 }
 
+bool decodeSharedTrialCrashes(TaskState& task, const json& entry)
+{
+    const auto count = integerIn(entry[2], crashCountRange);
+    task.sharedTrialCrashes = static_cast<int>(count.value_or(0));
+    return count.has_value();
+}
+
 bool decodeRunAtRisk(TaskState& task, const json& entry)
 {
     const auto number = integerIn(entry[2], runNumberRange);
@@ -180,6 +192,7 @@
     { "failed", 3, decodeFailedRuns },
     { "saved", 3, decodeCheckpoint },
     { "crashes", 6, decodeCrashes },
+    { "sharedTrialCrashes", 3, decodeSharedTrialCrashes },
     { "atRisk", 6, decodeRunAtRisk },
 };
 
