--- a/src/libscheduler/crash_attribution_test.cpp
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -57,6 +57,46 @@
         return job == state.jobs.end() ? m_ended.at(id) : job->second.state;
     }
 
+    /// Loses all VMs at once; none of their tasks has caused it.
+    void loseVms()
+    {
+        for (const auto& [name, vm] : std::map(m_vms)) {
+            if (vm.isUp)
+                crash(name);
+        }
+    }
+
+    /// Runs until the condition holds or \p limit has passed, and returns the time that it took.
+    template <typename Condition> milliseconds runUntil(Condition condition, milliseconds limit)
+    {
+        const auto begin = clock.now();
+        while (!condition() && clock.now() - begin < limit)
+            run(10ms);
+        return std::chrono::duration_cast<milliseconds>(clock.now() - begin);
+    }
+
+    int countJobs() const { return static_cast<int>(state.jobs.size()); }
+
+    int countWaiting()
+    {
+        int count = 0;
+        for (const auto& [id, job] : state.jobs) {
+            for (const auto& task : job.occurrences.at(0).steps[0].tasks)
+                count += !task.done && !task.run;
+        }
+        return count;
+    }
+
+    int countSuspects()
+    {
+        int count = 0;
+        for (const auto& [id, job] : state.jobs) {
+            for (const auto& task : job.occurrences.at(0).steps[0].tasks)
+                count += task.isSuspect && !task.done;
+        }
+        return count;
+    }
+
     std::map<TaskId, int> crashes;
     std::map<TaskId, int> startsAfterThreeCrashes;
     int doubleRuns = 0;
@@ -330,6 +370,82 @@
     }
 }
 
+// After a loss of all VMs, trials one after the other kept tasks waiting in proportion to their number.
+BOOST_AUTO_TEST_CASE(innocentSuspectTasksStartSoonWhateverTheirNumber)
+{
+    for (const int jobs : { 5, 25, 75 }) {
+        Simulation pool(4, 5);
+        pool.runTime = 1s;
+        for (int i = 0; i < jobs; ++i)
+            pool.submitJob("job" + std::to_string(i), PoolFixture::makeStep(4, 100));
+        pool.run(50ms);
+        BOOST_TEST(pool.countWaiting() == 0);
+        pool.loseVms();
+        pool.runUntil([&] { return pool.countWaiting() > 0; }, 10s);
+        BOOST_TEST(pool.countSuspects() == jobs * 4);
+        const auto took = pool.runUntil([&] { return pool.countWaiting() == 0; }, 300s);
+        BOOST_TEST_MESSAGE(jobs * 4 << " suspect tasks started within " << took.count() << " ms");
+        BOOST_TEST((took <= 10s));
+        pool.run(2s);
+        BOOST_TEST(pool.countJobs() == 0);
+    }
+}
+
+// A task that crashes its VMs was started without bound, or failed jobs beside it, in shared trials.
+BOOST_AUTO_TEST_CASE(deadlyTasksAmongSharedTrialsAreGivenUpWithoutInnocentOnes)
+{
+    for (const bool keepsId : { false, true }) {
+        for (const milliseconds crashDelay : { 10ms, 200ms, 300ms, 700ms }) {
+            for (const milliseconds handOver : { 0s, 4s }) {
+                BOOST_TEST_CONTEXT(keepsId << " " << crashDelay.count() << " " << handOver.count())
+                {
+                    Simulation pool(
+                        4, 6, { .crashDelay = crashDelay, .keepsId = keepsId, .handOver = handOver });
+                    pool.state.limits.maxTrialWait = 1s;
+                    pool.runTime = 1s;
+                    for (int i = 0; i < 75; ++i)
+                        pool.submitJob((i % 25 == 12 ? "deadly" : "job") + std::to_string(i),
+                            PoolFixture::makeStep(4, 100));
+                    pool.run(120s);
+                    checkOutcome(pool, 75, 25);
+                }
+            }
+        }
+    }
+}
+
+// Tasks whose VMs were lost twice waited for long trials one after the other.
+BOOST_AUTO_TEST_CASE(innocentTasksLostTwiceStartSoon)
+{
+    Simulation pool(4, 7);
+    pool.runTime = 1s;
+    for (int i = 0; i < 75; ++i)
+        pool.submitJob("job" + std::to_string(i), PoolFixture::makeStep(4, 100));
+    pool.run(50ms);
+    pool.loseVms();
+    pool.run(8s + 500ms);
+    pool.loseVms();
+    pool.runUntil([&] { return pool.countWaiting() > 0; }, 10s);
+    BOOST_TEST(pool.countSuspects() > 200);
+    const auto took = pool.runUntil([&] { return pool.countWaiting() == 0; }, 300s);
+    BOOST_TEST_MESSAGE("started within " << took.count() << " ms");
+    BOOST_TEST((took <= 10s));
+    pool.run(2s);
+    for (int i = 0; i < 75; ++i)
+        BOOST_TEST((pool.stateOf("job" + std::to_string(i)) == JobState::Completed));
+}
+
+// Half of the VMs stood idle while suspect tasks alone waited for trials.
+BOOST_FIXTURE_TEST_CASE(trialsUseAllVmsIfNoOtherTaskWaits, PoolFixture)
+{
+    for (const auto* vm : { "v1", "v2", "v3", "v4" })
+        addVm(vm);
+    submit("j1", { makeStep(8) });
+    for (int i = 0; i < 8; ++i)
+        findTask(state, { "j1", 0, 0, i })->isSuspect = true;
+    BOOST_TEST(starts().size() == 4u);
+}
+
 BOOST_AUTO_TEST_CASE(crashesAreCountedAcrossHandOvers)
 {
     for (const milliseconds handOver : { 2s, 3s, 4s, 5s, 7s }) {
@@ -548,4 +664,56 @@
     BOOST_TEST(task("j1", 0, 0).crashes == 1);
 }
 
+// The only crash that a shared trial may end with would have been forgotten by a later holder.
+BOOST_FIXTURE_TEST_CASE(crashDuringASharedTrialCountsForEachTaskAndIsRecorded, PoolFixture)
+{
+    addVm("v1");
+    submit("j1", { makeStep(2) });
+    for (int i = 0; i < 2; ++i) {
+        auto& suspect = *findTask(state, { "j1", 0, 0, i });
+        suspect.isSuspect = true;
+        suspect.crashes = 1;
+        suspect.waitsForTrialSince = clock.now() - state.limits.maxTrialWait;
+    }
+    BOOST_TEST(startAndAccept().size() == 2u);
+    markUnresponsive(state, "v1");
+    unlistVm(state, "v1");
+    advance(state.limits.maxVmLease * 2);
+    expireLeases(state, clock.now());
+    const auto record = encodeProgress(state.jobs.at("j1"));
+    state.jobs.clear();
+    submit("j1", { makeStep(2) }, true, record);
+    for (int i = 0; i < 2; ++i) {
+        auto& suspect = *findTask(state, { "j1", 0, 0, i });
+        BOOST_TEST(suspect.crashes == 2);
+        BOOST_TEST(suspect.sharedTrialCrashes == 1);
+        BOOST_TEST(suspect.trialCrashes == 0);
+        suspect.waitsForTrialSince = clock.now() - state.limits.maxTrialWait;
+    }
+    addVm("v2");
+    BOOST_TEST(starts().size() == 1u);
+}
+
+// Nothing in the log said why suspect tasks waited.
+BOOST_FIXTURE_TEST_CASE(waitingSuspectsAreDescribedForTheLog, PoolFixture)
+{
+    addVm("v1");
+    addVm("v2");
+    submit("j1", { makeStep(3) });
+    for (int i = 0; i < 3; ++i)
+        findTask(state, { "j1", 0, 0, i })->isSuspect = true;
+    findTask(state, { "j1", 0, 0, 2 })->crashes = state.limits.crashesBeforeLongTrial;
+    submit("j2", { makeStep(1, 8000) }); // waits, so that trials take half of the VMs
+    BOOST_TEST(starts().size() == 1u);
+    advance(100ms);
+    const auto waiting = findWaitingSuspects(state, clock.now());
+    BOOST_TEST(waiting.tasks == 2);
+    BOOST_TEST(waiting.longTrials == 1);
+    BOOST_TEST((waiting.longest == 100ms));
+    BOOST_TEST(toString(waiting.longestTask) == "j1.0.0.1");
+    const std::map<PlacementObstacle, int> expected { { PlacementObstacle::Trial, 1 },
+        { PlacementObstacle::TrialLimit, 1 } };
+    BOOST_TEST((waiting.vms == expected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -1,5 +1,6 @@
 #include "placement_choice_pvt.h"
 
+#include "crash_attribution_pvt.h"
 #include "pool_state_pvt.h"
 #include "serving_reservations_pvt.h"
 
@@ -200,15 +201,15 @@
         && (!needsTicket(state, job) || hasTicket(stepAdvice(job, id), vm, now));
 }
 
-PlacementObstacle findObstacle(
+namespace {
+
+/// First reason of the VM's labels, its room or a missing ticket for which it can't take the task; None if
+/// there is none.
+PlacementObstacle findTaskObstacle(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
 {
     using enum PlacementObstacle;
     const auto& step = stepOf(job, id.step);
-    if (const auto obstacle = findVmObstacle(vm, now); obstacle != None)
-        return obstacle;
-    if (vm.trialTask || now < vm.reservedUntil)
-        return Trial;
     if (!hasLabel(vm, step.requiredLabel))
         return Label;
     if (step.maxPerVm > 0 && countSiblings(vm, id) >= step.maxPerVm)
@@ -226,13 +227,43 @@
     return needsTicket(state, job) && !hasTicket(stepAdvice(job, id), vm, now) ? Ticket : None;
 }
 
-VmState* chooseTrialVm(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now)
+} // namespace
+
+PlacementObstacle findObstacle(
+    const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    using enum PlacementObstacle;
+    if (const auto obstacle = findVmObstacle(vm, now); obstacle != None)
+        return obstacle;
+    if (vm.trialTask || now < vm.reservedUntil)
+        return Trial;
+    return findTaskObstacle(state, vm, job, id, now);
+}
+
+PlacementObstacle findTrialObstacle(
+    PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    using enum PlacementObstacle;
+    if (const auto obstacle = findVmObstacle(vm, now); obstacle != None)
+        return obstacle;
+    if (vm.trialTask)
+        return Trial;
+    if (const auto obstacle = findTaskObstacle(state, vm, job, id, now); obstacle != None)
+        return obstacle;
+    return isQuiet(state, vm, now) ? TrialLimit : RecentStart;
+}
+
+VmState* chooseTrialVm(
+    PoolState& state, const JobEntry& job, const TaskId& id, TrialShare share, TimePoint now)
 {
     const auto& step = stepOf(job, id.step);
     const bool requiresTicket = needsTicket(state, job);
+    const auto& task = *findTask(state, id);
+    const bool mayShare = !step.gang && mayShareTrial(task, state.limits, now);
     int available = 0;
     int taken = 0;
     VmState* quiet = nullptr;
+    VmState* shared = nullptr;
     VmState* next = nullptr;
     for (auto& [name, vm] : state.vms) {
         if (!isAvailable(vm, now))
@@ -241,12 +272,18 @@
         const bool isReserved = now < vm.reservedUntil;
         taken += vm.trialTask || isReserved;
         const bool isOwnTrial = step.gang && vm.trialTask && isOfOneStep(*vm.trialTask, id);
-        if ((vm.trialTask && !isOwnTrial) || !suits(state, vm, step, id, OwnRun::None)
+        // After a shorter trial than its own a task could no longer be told from the others.
+        const bool isOpenTrial = mayShare && vm.trialTask && vm.sharedTrialAt == now
+            && findTask(state, *vm.trialTask)->run->trial == trialLength(task, state.limits);
+        if ((vm.trialTask && !isOwnTrial && !isOpenTrial) || !suits(state, vm, step, id, OwnRun::None)
             || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
             continue;
         if (isOwnTrial)
             return &vm;
-        if (isQuiet(state, vm, now)) {
+        if (isOpenTrial) {
+            if (!shared || vm.runs.size() < shared->runs.size())
+                shared = &vm;
+        } else if (isQuiet(state, vm, now)) {
             // A crash ends few other runs on a VM with few of them.
             if (!quiet || vm.runs.size() < quiet->runs.size())
                 quiet = &vm;
@@ -254,10 +291,14 @@
             next = &vm;
         }
     }
+    const bool mayTakeAll
+        = share == TrialShare::All && trialLength(task, state.limits) < state.limits.longTrial;
     // A gang starts whole or not at all.
-    const bool mayTakeAnother = step.gang || taken < std::max(1, available / 2);
+    const bool mayTakeAnother = step.gang || mayTakeAll || taken < std::max(1, available / 2);
     if (quiet && (mayTakeAnother || now < quiet->reservedUntil))
         return quiet;
+    if (shared)
+        return shared;
     if (next && mayTakeAnother)
         next->reservedUntil = now + state.limits.shortTrial * 2;
     return nullptr;
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -141,8 +141,12 @@
         job.dirty = job.hasUnrecordedTrial = true;
         vm.trialTask = id;
         vm.reservedUntil = TimePoint {};
+        run.isTrialShared = !stepOf(job, id.step).gang && mayShareTrial(task, state.limits, now);
+        if (run.isTrialShared)
+            vm.sharedTrialAt = now;
     }
     vm.lastStartAt = now;
+    task.waitsForTrialSince = TimePoint {};
     dropReservation(state, id);
     placeRun(state, vm, id, task, run);
     if (job.firstStartAt == TimePoint {})
@@ -199,9 +203,11 @@
         const TaskId id { job.spec.id, waiting.occurrence, waiting.step, static_cast<int>(i) };
         if (blocks.orphanTasks.contains(id))
             continue;
-        auto* vm
-            = task.isSuspect ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
+        auto* vm = task.isSuspect ? chooseTrialVm(state, job, id, TrialShare::Half, now)
+                                  : chooseVm(state, job, id, waited, now);
         if (!vm && task.isSuspect) {
+            if (task.waitsForTrialSince == TimePoint {})
+                task.waitsForTrialSince = now;
             recordMissingTicket(state, waiting);
             continue;
         }
@@ -265,8 +271,8 @@
     std::vector<VmBeforeStart> before;
     id.index = 0;
     for (auto& task : step.tasks) {
-        auto* vm
-            = trial.count() > 0 ? chooseTrialVm(state, job, id, now) : chooseVm(state, job, id, waited, now);
+        auto* vm = trial.count() > 0 ? chooseTrialVm(state, job, id, TrialShare::Half, now)
+                                     : chooseVm(state, job, id, waited, now);
         if (!vm)
             break;
         before.push_back({ vm, vm->lastStartAt, vm->trialTask, vm->reservedUntil });
@@ -289,6 +295,44 @@
     job.hasUnrecordedTrial = hadUnrecordedTrial;
 }
 
+/// Whether a task that is not suspect still waits in the step.
+bool hasOtherWaitingTask(const WaitingStep& waiting, const StartBlocks& blocks)
+{
+    const auto& occurrence = waiting.job->occurrences.at(waiting.occurrence);
+    const bool hasUnknownRuns = mayHaveUnknownRuns(*waiting.job, occurrence, waiting.step, blocks);
+    const auto& tasks = occurrence.steps[static_cast<std::size_t>(waiting.step)].tasks;
+    return std::any_of(tasks.begin(), tasks.end(),
+        [&](const TaskState& task) { return !task.isSuspect && isWaiting(task, hasUnknownRuns); });
+}
+
+/// Starts trials on the VMs that no other task needs.
+void placeRemainingSuspects(PoolState& state, const std::vector<WaitingStep>& waiting,
+    const StartBlocks& blocks, TimePoint now, std::size_t maxStarts, std::vector<StartAction>& out)
+{
+    if (std::any_of(waiting.begin(), waiting.end(),
+            [&](const WaitingStep& step) { return hasOtherWaitingTask(step, blocks); }))
+        return;
+    for (const auto& step : waiting) {
+        auto& job = *step.job;
+        if (stepOf(job, step.step).gang)
+            continue;
+        auto& occurrence = job.occurrences.at(step.occurrence);
+        const bool hasUnknownRuns = mayHaveUnknownRuns(job, occurrence, step.step, blocks);
+        TaskId id { job.spec.id, step.occurrence, step.step, -1 };
+        for (auto& task : occurrence.steps[static_cast<std::size_t>(step.step)].tasks) {
+            ++id.index;
+            if (out.size() >= maxStarts)
+                return;
+            if (!isWaiting(task, hasUnknownRuns) || blocks.orphanTasks.contains(id))
+                continue;
+            auto* vm = chooseTrialVm(state, job, id, TrialShare::All, now);
+            if (vm)
+                out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint,
+                    trialLength(task, state.limits), now));
+        }
+    }
+}
+
 WaitingServingStep describeWaiting(
     const PoolState& state, const JobEntry& job, const StepId& id, TimePoint now)
 {
@@ -338,6 +382,26 @@
     return false;
 }
 
+/// Adds the waiting suspect tasks of a step.
+void addWaitingSuspects(
+    const JobEntry& job, const StepId& id, const PoolLimits& limits, TimePoint now, WaitingSuspects& out)
+{
+    const auto& tasks = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        const auto& task = tasks[i];
+        if (task.done || task.run || !task.isSuspect)
+            continue;
+        out.longTrials += trialLength(task, limits) == limits.longTrial;
+        const auto waited = task.waitsForTrialSince == TimePoint {}
+            ? milliseconds(0)
+            : std::chrono::duration_cast<milliseconds>(now - task.waitsForTrialSince);
+        if (++out.tasks > 1 && waited <= out.longest)
+            continue;
+        out.longest = waited;
+        out.longestTask = { job.spec.id, id.occurrence, id.step, static_cast<int>(i) };
+    }
+}
+
 std::set<TaskId> findOrphanTasks(const PoolState& state)
 {
     std::set<TaskId> out;
@@ -428,6 +492,7 @@
         else
             placeTasks(state, step, blocks, now, wallNow, limit, failed, reservations, out);
     }
+    placeRemainingSuspects(state, waiting, blocks, now, limit, out);
     return out;
 }
 
@@ -453,6 +518,27 @@
     return out;
 }
 
+WaitingSuspects findWaitingSuspects(PoolState& state, TimePoint now)
+{
+    WaitingSuspects out;
+    for (const auto& [id, job] : state.jobs) {
+        if (isFinal(job.state))
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
+                if (isStepReady(job, occurrence, s))
+                    addWaitingSuspects(job, { id, number, s }, state.limits, now, out);
+            }
+        }
+    }
+    if (out.tasks == 0)
+        return out;
+    const auto& job = state.jobs.find(out.longestTask.job)->second;
+    for (const auto& [name, vm] : state.vms)
+        ++out.vms[findTrialObstacle(state, vm, job, out.longestTask, now)];
+    return out;
+}
+
 std::optional<WallTime> nextDue(const PoolState& state)
 {
     std::optional<WallTime> next;
