Count a machine against a wave's limit while its command may be carried out

Cause, by reading and by test: a machine whose VM had crashed was kept against the limit after an unanswered command only until the next list of machines showed it. The platform carries commands out up to 12 s late, so the next machine's maintenance began and the late command followed. And a coordinator that took over knew nothing of its predecessor's unanswered commands.

Change: an unanswered command counts for 12 s, whatever lists show in between; a task that a coordinator finds as not yet accepted counts as commanded at the takeover. A wave whose machine has crashed in that time waits for it longer.

--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -121,7 +121,7 @@
     std::map<std::int64_t, bool> m_reported; ///< by wave, whether it was reported as completed
     std::set<std::int64_t> m_statusWritesInFlight; ///< waves with a status write in flight
     std::map<std::string, TimePoint> m_commandAcceptedAt; ///< by machine, when its command was accepted
-    /// By machine, when its command ended without a response; until a later machine list shows its state.
+    /// By machine, when its command ended without a response; as long as it may still be carried out.
     std::map<std::string, TimePoint> m_unansweredAt;
     TimePoint m_nextListAt {};
     TimePoint m_demandsLoggedAt {};
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds busyListInterval { 700 };
 constexpr milliseconds idleListInterval { 5000 };
 constexpr milliseconds commandRetryInterval { 400 };
+/// How long after it was sent an unanswered command may still be carried out.
+constexpr milliseconds maxCommandDelay { 12000 };
 constexpr milliseconds demandLogInterval { 1000 };
 constexpr milliseconds statusTimeout { 1000 };
 /// Transaction entries besides the coordinator's rows: the expectation on the lease row.
@@ -51,6 +53,8 @@
     m_state.tasks = m_context.rows.tasks();
     for (const auto& [machine, task] : m_state.tasks) {
         m_committedTasks[machine] = encodeTask(task);
+        if (task.state == MachineTaskState::Emptying)
+            m_unansweredAt[machine] = m_context.clock.now(); // the earlier coordinator may have sent it
         // Until the first list that contains it.
         const bool isMove = task.action == MachineAction::Move;
         m_state.machines[machine]
@@ -185,10 +189,11 @@
         // A machine that is on two pages changed its pool in between; the later page is newer.
         listed.insert_or_assign(id, isStale ? m_state.machines[id] : std::move(machine));
     }
-    std::erase_if(m_unansweredAt,
-        [&](const auto& entry) { return listed.contains(entry.first) && entry.second < m_listRequestedAt; });
-    updateMachines(m_state, std::move(listed), m_limits, m_context.clock.now());
-    std::erase_if(m_unansweredAt, [&](const auto& entry) { return !m_state.machines.contains(entry.first); });
+    const auto now = m_context.clock.now();
+    updateMachines(m_state, std::move(listed), m_limits, now);
+    std::erase_if(m_unansweredAt, [&](const auto& entry) {
+        return now - entry.second >= maxCommandDelay || !m_state.machines.contains(entry.first);
+    });
     m_hasMachineList = true;
     detectRepeatedCommands();
 }
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -1,5 +1,6 @@
 /// MachineCoordinator with an in-memory table and machines.
 #include "fakes_test.h"
+#include "fleet_rows_pvt.h"
 
 #include <damaskworks/machine_coordinator.h>
 #include <damaskworks/registry.h>
@@ -23,6 +24,7 @@
 
     std::map<std::string, Machine> machines;
     int maintenanceCommands = 0;
+    std::set<std::string> commanded; ///< machines that have got a maintenance command
     bool ignoresCommands = false; ///< accepts maintenance commands without effect
     bool takesTime = false; ///< machines under maintenance are down until bringUp()
     bool losesResponses = false; ///< carries out commands without a response
@@ -60,6 +62,7 @@
         if (machines[machine].state != MachineState::Up)
             return postResponse([callback] { callback(CommandOutcome::Refused); });
         ++maintenanceCommands;
+        commanded.insert(machine);
         if (takesTime)
             machines[machine].state = MachineState::Maintenance;
         else if (!ignoresCommands)
@@ -225,3 +228,55 @@
     machines.bringUp("m1");
     BOOST_TEST(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
 }
+
+/// Of two machines in a wave with limit 1, the first has crashed after an unanswered command.
+struct LateCommandFixture : CoordinatorFixture {
+    LateCommandFixture()
+    {
+        config.pools["a"] = { "a", false, false };
+        for (const char* number : { "1", "2", "3", "4", "5", "6" }) {
+            const auto id = std::string("m") + number;
+            machines.machines[id] = { id, "a", MachineState::Up, std::string("vm-") + number };
+        }
+        machines.ignoresCommands = machines.losesResponses = true;
+        wave.machines = { "m1", "m2" };
+    }
+
+    void reportEmpty(const std::map<std::string, std::string>& empty)
+    {
+        PoolLoad load;
+        load.empty = empty;
+        fleetRows.apply({ rows::poolPart("a"), std::string(loadKey), encodeLoad(load), 1 });
+    }
+
+    void waitForLists(int count)
+    {
+        const int earlierLists = machines.lists;
+        BOOST_REQUIRE(loop.runUntil([&] { return machines.lists >= earlierLists + count; }, 20s));
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(machineOfACommandThatMayBeCarriedOutLateCountsAsDown, LateCommandFixture)
+{
+    // A list read after the unanswered command was taken as proof that it had not been carried out.
+    begin();
+    const auto term = std::to_string(coordinator->acquiredVersion());
+    reportEmpty({ { "m1", term + ".1" }, { "m2", term + ".2" } });
+    BOOST_REQUIRE(loop.runUntil([&] { return !machines.commanded.empty(); }, 20s));
+    machines.machines["m1"].state = MachineState::Down;
+    waitForLists(4);
+    BOOST_TEST(machines.commanded.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(machineThatAnEarlierCoordinatorMayHaveCommandedCountsAsDown, LateCommandFixture)
+{
+    // The next coordinator did not know of the earlier one's unanswered command.
+    const MachineTask task { "m1", MachineAction::Maintain, 1, "", "vm-1", MachineTaskState::Emptying,
+        "0.1" };
+    fleetRows.apply({ rows::poolPart(coordinatorPool), rows::machineKey("m1"), encodeTask(task), 1 });
+    machines.machines["m1"].state = MachineState::Down;
+    begin();
+    reportEmpty({ { "m2", std::to_string(coordinator->acquiredVersion()) + ".1" } });
+    waitForLists(4);
+    BOOST_TEST(machines.commanded.empty());
+}
