--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -16,6 +16,9 @@
 ABSL_FLAG(bool, silent_vms, false,
     "VMs restart, take a start and are cut off while their runs go on; no tasks crash VMs. Wants 14 s or "
     "more.");
+ABSL_FLAG(bool, takeovers, false,
+    "Several nodes fail or stand still at once, while the machine service, VMs or their addresses are "
+    "disturbed; no tasks crash VMs.");
 ABSL_FLAG(std::string, logs, "",
     "Folder for the logs of the processes; empty: a temporary folder. Logs are kept if a run fails.");
 
@@ -30,6 +33,8 @@
 constexpr int restartIntervalSpreadMs = 900;
 constexpr milliseconds minSilenceInterval { 800 };
 constexpr int silenceIntervalSpreadMs = 1600;
+constexpr milliseconds minTakeoverInterval { 1500 };
+constexpr int takeoverIntervalSpreadMs = 2500;
 constexpr int longTaskSpreadMs = 2000;
 /// Longest lease of VMs in a run of the soak, one of two.
 constexpr milliseconds shortMaxLease { 6000 };
@@ -56,13 +61,15 @@
 
 } // namespace
 
-Soak::Soak(std::uint64_t seed, int nodes, bool hasSilentVms, std::string folder)
+Soak::Soak(std::uint64_t seed, int nodes, bool hasSilentVms, bool hasTakeovers, std::string folder)
     : m_seed(seed)
     , m_random(seed)
     , m_configRandom(seed + 2)
     , m_restartRandom(seed + 3)
     , m_silenceRandom(seed + 4)
+    , m_takeoverRandom(seed + 6)
     , m_hasSilentVms(hasSilentVms)
+    , m_hasTakeovers(hasTakeovers)
     , m_folder(std::move(folder))
     , m_platform(m_loop.base(), m_checker, seed + 1)
     , m_client(m_loop.base(), {})
@@ -139,7 +146,8 @@
     const bool alwaysFails = randomBelow(25) == 0;
     const bool isLongRunning = randomBelow(40) == 0;
     // A VM that is cut off can't be told from one that has crashed, so a run has one or the other.
-    job.crashesVms = randomRestartBelow(crashingJobInterval) == 0 && !isLongRunning && !m_hasSilentVms;
+    job.crashesVms = randomRestartBelow(crashingJobInterval) == 0 && !isLongRunning && !m_hasSilentVms
+        && !m_hasTakeovers;
     const TaskBehaviour work { 40 + randomBelow(160), alwaysFails ? 1.0 : 0.0, isLongRunning,
         100 + 100 * randomBelow(5), job.crashesVms ? 5 + randomRestartBelow(150) : 0 };
     job.spec.id = id;
@@ -276,8 +284,11 @@
 {
     report("all faults cleared");
     m_platform.table().faults = {};
-    for (auto& [machine, vm] : m_platform.vms())
+    m_platform.machineServiceFaults = {};
+    for (auto& [machine, vm] : m_platform.vms()) {
         vm->faults = {};
+        vm->endCutFromHolder();
+    }
     for (auto& node : m_nodes) {
         setRelay(node, nlohmann::json::object());
         if (node.process->hasEnded() && !node.isDown)
@@ -317,6 +328,11 @@
         silenceVm();
         silences.startOnce(minSilenceInterval + milliseconds(randomSilenceBelow(silenceIntervalSpreadMs)));
     });
+    Timer takeovers(m_loop.base(), [this, &takeovers] {
+        disturbTakeover();
+        takeovers.startOnce(
+            minTakeoverInterval + milliseconds(randomTakeoverBelow(takeoverIntervalSpreadMs)));
+    });
     Timer configs(m_loop.base(), [this, &configs] {
         configure();
         if (randomConfigBelow(2) == 0)
@@ -331,12 +347,15 @@
     restarts.startOnce(milliseconds(2000));
     if (m_hasSilentVms)
         silences.startOnce(milliseconds(2000));
+    if (m_hasTakeovers)
+        takeovers.startOnce(milliseconds(2000));
     m_loop.runUntil([] { return false; }, length);
     traffic.stop();
     faults.stop();
     configs.stop();
     restarts.stop();
     silences.stop();
+    takeovers.stop();
     clearFaults();
     Timer states(m_loop.base(), [this] { pollJobStates(); });
     states.startPeriodic(milliseconds(400));
@@ -377,7 +396,8 @@
         std::filesystem::create_directories(folder);
         bool hasPassed = false;
         {
-            soak::Soak soak(seed, absl::GetFlag(FLAGS_nodes), absl::GetFlag(FLAGS_silent_vms), folder);
+            soak::Soak soak(seed, absl::GetFlag(FLAGS_nodes), absl::GetFlag(FLAGS_silent_vms),
+                absl::GetFlag(FLAGS_takeovers), folder);
             hasPassed = soak.run(std::chrono::seconds(absl::GetFlag(FLAGS_seconds)));
         }
         failed += !hasPassed;
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -35,7 +35,7 @@
 /// One run of the soak, with its processes and its stand-in for the platform.
 class Soak {
 public:
-    Soak(std::uint64_t seed, int nodes, bool hasSilentVms, std::string folder);
+    Soak(std::uint64_t seed, int nodes, bool hasSilentVms, bool hasTakeovers, std::string folder);
     /// Runs traffic and faults for \p length, then waits for the work; returns whether nothing was violated.
     bool run(seconds length);
 
@@ -61,6 +61,14 @@
     void cutOffOnceBusy(const std::string& machine, int attempts);
     /// Submits a job whose tasks outlast the lease of a VM.
     void submitLongJob();
+    /// Lets two nodes fail or stand still, often while the machine control service, VMs or addresses are
+    /// disturbed as well.
+    void disturbTakeover();
+    void loseNodes(bool freezesNodes);
+    void disturbMachineService();
+    void cutVmsOffFromHolders();
+    /// A machine whose VM is up; empty if there is none.
+    std::string randomMachine();
     void killNode(Node& node);
     void injectFault();
     void injectNodeFault(Node& node, int kind);
@@ -84,6 +92,11 @@
     {
         return static_cast<int>(m_silenceRandom() % static_cast<std::uint64_t>(limit));
     }
+    /// From a generator of its own for disturbed takeovers.
+    int randomTakeoverBelow(int limit)
+    {
+        return static_cast<int>(m_takeoverRandom() % static_cast<std::uint64_t>(limit));
+    }
     int randomBelow(int limit) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(limit)); }
     Node& randomNode()
     {
@@ -96,7 +109,9 @@
     std::mt19937_64 m_configRandom;
     std::mt19937_64 m_restartRandom;
     std::mt19937_64 m_silenceRandom;
+    std::mt19937_64 m_takeoverRandom;
     bool m_hasSilentVms; ///< else some tasks crash the VMs that start them
+    bool m_hasTakeovers; ///< disturbTakeover() is called
     std::string m_folder;
     std::chrono::steady_clock::time_point m_startTime = std::chrono::steady_clock::now();
     Loop m_loop;
--- a/testsuite/soak/standin_vm_test.cpp
+++ b/testsuite/soak/standin_vm_test.cpp
@@ -111,6 +111,29 @@
     BOOST_TEST(!loop.runUntil([this] { return observer.startCount == 1; }, milliseconds(4500)));
 }
 
+BOOST_AUTO_TEST_CASE(vmThatIsCutOffFromItsHolderHearsTheNextOne)
+{
+    call("/hold", { { "fence", 3 } });
+    vm().cutOffFromHolder(true);
+    hasAnswered = false;
+    send("/run-start", startOf(0, lasting, 3));
+    BOOST_TEST(loop.runUntil([this] { return observer.startCount == 1; }, milliseconds(1000)));
+    BOOST_TEST(!hasAnswered);
+    BOOST_TEST(call("/hold", { { "fence", 4 } })["running"].size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(vmsThatExchangeAddressesHaveNewIds)
+{
+    platform.addMachine("m-2", "pricing", 1000);
+    const auto earlierId = vm().spec().id;
+    const auto otherPort = platform.vms().at("m-2")->address().port;
+    platform.exchangeAddresses(machine, "m-2", milliseconds(20));
+    BOOST_REQUIRE(
+        loop.runUntil([this] { return isUp() && platform.vms().contains("m-2"); }, milliseconds(5000)));
+    BOOST_TEST(vm().address().port == otherPort);
+    BOOST_TEST(vm().spec().id != earlierId);
+}
+
 BOOST_AUTO_TEST_CASE(vmThatIsCutOffGoesOnWithItsRunsAndRespondsToNothing)
 {
     call("/run-start", startOf(0, { 200, 0, false, 100, 0 }));
