--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -19,6 +19,9 @@
 ABSL_FLAG(int, max_command_delay_s, 4, "Longest delay of commands that VMs carry out late, up to 12 s.");
 ABSL_FLAG(bool, late_across_boots, false,
     "Late commands are carried out by the next boot of their VM too. The pages are read as excluding it.");
+ABSL_FLAG(bool, takeovers, false,
+    "Several nodes fail or stand still at once, while the machine service, VMs or their addresses are "
+    "disturbed; no tasks crash VMs.");
 ABSL_FLAG(std::string, logs, "",
     "Folder for the logs of the processes; empty: a temporary folder. Logs are kept if a run fails.");
 
@@ -33,6 +36,8 @@
 constexpr int restartIntervalSpreadMs = 900;
 constexpr milliseconds minSilenceInterval { 800 };
 constexpr int silenceIntervalSpreadMs = 1600;
+constexpr milliseconds minTakeoverInterval { 1500 };
+constexpr int takeoverIntervalSpreadMs = 2500;
 constexpr int longTaskSpreadMs = 2000;
 /// Longest lease of VMs in a run of the soak, one of two.
 constexpr milliseconds shortMaxLease { 6000 };
@@ -66,6 +71,7 @@
     , m_restartRandom(seed + 3)
     , m_silenceRandom(seed + 4)
     , m_lateRandom(seed + 6)
+    , m_takeoverRandom(seed + 7)
     , m_options(options)
     , m_folder(std::move(folder))
     , m_platform(m_loop.base(), m_checker, seed + 1)
@@ -146,8 +152,8 @@
     const bool alwaysFails = randomBelow(25) == 0;
     const bool isLongRunning = randomBelow(40) == 0;
     // A VM that is cut off can't be told from one that has crashed, so a run has one or the other.
-    job.crashesVms
-        = randomRestartBelow(crashingJobInterval) == 0 && !isLongRunning && !m_options.hasSilentVms;
+    job.crashesVms = randomRestartBelow(crashingJobInterval) == 0 && !isLongRunning && !m_options.hasSilentVms
+        && !m_options.hasTakeovers;
     const TaskBehaviour work { 40 + randomBelow(160), alwaysFails ? 1.0 : 0.0, isLongRunning,
         100 + 100 * randomBelow(5), job.crashesVms ? 5 + randomRestartBelow(150) : 0 };
     job.spec.id = id;
@@ -284,8 +290,11 @@
 {
     report("all faults cleared");
     m_platform.table().faults = {};
-    for (auto& [machine, vm] : m_platform.vms())
+    m_platform.machineServiceFaults = {};
+    for (auto& [machine, vm] : m_platform.vms()) {
         vm->faults = {};
+        vm->endCutFromHolder();
+    }
     for (auto& node : m_nodes) {
         setRelay(node, nlohmann::json::object());
         if (node.process->hasEnded() && !node.isDown)
@@ -325,6 +334,11 @@
         silenceVm();
         silences.startOnce(minSilenceInterval + milliseconds(randomSilenceBelow(silenceIntervalSpreadMs)));
     });
+    Timer takeovers(m_loop.base(), [this, &takeovers] {
+        disturbTakeover();
+        takeovers.startOnce(
+            minTakeoverInterval + milliseconds(randomTakeoverBelow(takeoverIntervalSpreadMs)));
+    });
     Timer configs(m_loop.base(), [this, &configs] {
         configure();
         if (randomConfigBelow(2) == 0)
@@ -339,12 +353,15 @@
     restarts.startOnce(milliseconds(2000));
     if (m_options.hasSilentVms)
         silences.startOnce(milliseconds(2000));
+    if (m_options.hasTakeovers)
+        takeovers.startOnce(milliseconds(2000));
     m_loop.runUntil([] { return false; }, length);
     traffic.stop();
     faults.stop();
     configs.stop();
     restarts.stop();
     silences.stop();
+    takeovers.stop();
     clearFaults();
     Timer states(m_loop.base(), [this] { pollJobStates(); });
     states.startPeriodic(milliseconds(400));
@@ -377,7 +394,7 @@
     absl::ParseCommandLine(argc, argv);
     const soak::SoakOptions options { absl::GetFlag(FLAGS_silent_vms),
         std::chrono::seconds(absl::GetFlag(FLAGS_max_command_delay_s)),
-        absl::GetFlag(FLAGS_late_across_boots) };
+        absl::GetFlag(FLAGS_late_across_boots), absl::GetFlag(FLAGS_takeovers) };
     int failed = 0;
     for (int i = 0; i < absl::GetFlag(FLAGS_runs); ++i) {
         const auto seed = absl::GetFlag(FLAGS_seed) + static_cast<std::uint64_t>(i);
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -37,6 +37,7 @@
     bool hasSilentVms = false; ///< else some tasks crash the VMs that start them
     milliseconds maxCommandDelay { 4000 }; ///< of commands that VMs carry out late
     bool isLateAcrossBoots = false; ///< see Platform::setLateAcrossBoots()
+    bool hasTakeovers = false; ///< disturbTakeover() is called
 };
 
 /// One run of the soak, with its processes and its stand-in for the platform.
@@ -68,6 +69,14 @@
     void cutOffOnceBusy(const std::string& machine, int attempts);
     /// Submits a job whose tasks outlast the lease of a VM.
     void submitLongJob();
+    /// Lets two nodes fail or stand still, often while the machine control service, VMs or addresses are
+    /// disturbed as well.
+    void disturbTakeover();
+    void loseNodes(bool freezesNodes);
+    void disturbMachineService();
+    void cutVmsOffFromHolders();
+    /// A machine whose VM is up; empty if there is none.
+    std::string randomMachine();
     void killNode(Node& node);
     void injectFault();
     void injectNodeFault(Node& node, int kind);
@@ -93,6 +102,11 @@
     {
         return static_cast<int>(m_silenceRandom() % static_cast<std::uint64_t>(limit));
     }
+    /// From a generator of its own for disturbed takeovers.
+    int randomTakeoverBelow(int limit)
+    {
+        return static_cast<int>(m_takeoverRandom() % static_cast<std::uint64_t>(limit));
+    }
     int randomBelow(int limit) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(limit)); }
     Node& randomNode()
     {
@@ -106,6 +120,7 @@
     std::mt19937_64 m_restartRandom;
     std::mt19937_64 m_silenceRandom;
     std::mt19937_64 m_lateRandom;
+    std::mt19937_64 m_takeoverRandom;
     SoakOptions m_options;
     std::string m_folder;
     std::chrono::steady_clock::time_point m_startTime = std::chrono::steady_clock::now();
