Log when a holder's copies of tables are stale and how long its passes take

Cause: a holder whose node has not read all changes of the tables of jobs and VMs starts nothing, and no line said so; nor did one say how much of its time the holder spends on planning. Ruled out: lines of each incomplete response of a table; every node has some each second on the large site. Change: views_stale and views_fresh; passes, passes_ms and planning_ms in pool_load.

--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -63,6 +63,8 @@
     /// Follows the VMs' registrations from the first lease of this process on. Nodes without a lease need
     /// none, and on a large fleet they change hundreds of times a second.
     void followVms();
+    /// Whether the copies of the tables of jobs and VMs are recent enough for holders to start tasks.
+    bool areViewsFresh();
     /// Follows the pools' loads, as long as this node coordinates the machines.
     void followLoads();
     /// Calls begin() on the holders and the coordinator once the node has read the tables up to their
@@ -125,6 +127,8 @@
     SignalWatch m_onHangup;
     bool m_followsVms = false;
     bool m_wasReady = false;
+    bool m_wereViewsFresh = true; ///< result of the last call of areViewsFresh()
+    TimePoint m_viewsChangedAt {};
     bool m_stopping = false;
     TimePoint m_stopStartedAt {};
 };
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -148,6 +148,10 @@
     TimePoint m_loadComputedAt {};
     TimePoint m_loadLoggedAt {};
     TimePoint m_waitingLoggedAt {};
+    // Since the last log of the load.
+    int m_passes = 0; ///< calls of reconcile()
+    Duration m_timeInPasses {};
+    Duration m_timePlanningStarts {}; ///< part of m_timeInPasses
     TimePoint m_nextListAt {}; ///< earliest time of the next list of machines
     TimePoint m_begunAt {};
     bool m_isRecovering = false; ///< after a takeover, until isRecoveryComplete()
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -119,6 +119,7 @@
     logEvent(LogLevel::Info, "started",
         { { "callers", http::toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre },
             { "table", http::toString(m_settings.table) }, { "session", m_session } });
+    m_viewsChangedAt = m_clock.now();
     startFollowers();
     m_tickTimer.startPeriodic(tickInterval);
     return {};
@@ -305,12 +306,8 @@
         followLoads();
         return beginReadyHolders();
     }
-    auto areViewsFresh = [this] {
-        const auto now = m_clock.now();
-        return isFresh(m_jobRows, now, maxViewAge) && isFresh(m_vmRows, now, maxViewAge);
-    };
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
-        *m_adapter.machines, *m_adapter.advice, m_directory, areViewsFresh };
+        *m_adapter.machines, *m_adapter.advice, m_directory, [this] { return areViewsFresh(); } };
     m_holders[pool] = std::make_unique<PoolHolder>(
         context, pool, lease, m_leaseTiming, m_settings.maxLease, [this] { beginReadyHolders(); },
         [this, pool] { m_endedHolders.push_back(pool); });
@@ -318,6 +315,25 @@
     beginReadyHolders();
 }
 
+bool FleetNode::areViewsFresh()
+{
+    const auto now = m_clock.now();
+    const bool areFresh = isFresh(m_jobRows, now, maxViewAge) && isFresh(m_vmRows, now, maxViewAge);
+    if (areFresh == m_wereViewsFresh)
+        return areFresh;
+    const auto age = [now](const TableFollower& rows) {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(now - rows.lastContact()).count());
+    };
+    logEvent(LogLevel::Info, areFresh ? "views_fresh" : "views_stale",
+        { { "after_ms",
+              std::to_string(std::chrono::duration_cast<milliseconds>(now - m_viewsChangedAt).count()) },
+            { "jobs_behind", m_jobRows.isBehind() ? "yes" : "no" }, { "jobs_age_ms", age(m_jobRows) },
+            { "vms_behind", m_vmRows.isBehind() ? "yes" : "no" }, { "vms_age_ms", age(m_vmRows) } });
+    m_wereViewsFresh = areFresh;
+    m_viewsChangedAt = now;
+    return areFresh;
+}
+
 void FleetNode::followLoads()
 {
     m_loadRows = std::make_unique<TableFollower>(m_loop.base(), *m_adapter.table, m_clock, m_metrics,
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -4,6 +4,7 @@
 #include <damaskworks/pool_plan.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace damask::fleet {
 namespace {
@@ -26,6 +27,11 @@
 /// Interval of the machine lists that show which VMs a new holder has to hear from.
 constexpr milliseconds recoveryListInterval { 1000 };
 
+std::string toMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
 bool hasRuns(const JobEntry& job)
 {
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -264,6 +270,7 @@
     if (m_ended || !m_ledger.isLeaseValid())
         return;
     const auto now = m_context.clock.now();
+    ++m_passes;
     requestMachineList(now);
     logRecovery(now);
     expireLeases(m_state, now);
@@ -279,6 +286,7 @@
     markDirtyIfNeeded();
     publishLoad(now);
     logWaitingServingTasks(now);
+    m_timeInPasses += m_context.clock.now() - now;
     const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
     scheduleReconcile(isIdle ? idleReconcileInterval : reconcileInterval);
 }
@@ -338,7 +346,10 @@
             { "window", std::to_string(static_cast<int>(m_commandWindow.size)) },
             { "outstanding", std::to_string(outstandingStarts()) },
             { "command_ms", std::to_string(static_cast<int>(m_commandWindow.responseTime.count())) },
-            { "starts_limited", m_state.areStartsLimited ? "yes" : "no" } });
+            { "starts_limited", m_state.areStartsLimited ? "yes" : "no" },
+            { "passes", std::to_string(std::exchange(m_passes, 0)) },
+            { "passes_ms", toMilliseconds(std::exchange(m_timeInPasses, Duration {})) },
+            { "planning_ms", toMilliseconds(std::exchange(m_timePlanningStarts, Duration {})) } });
 }
 
 void PoolHolder::logWaitingServingTasks(TimePoint now)
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -69,7 +69,9 @@
 {
     const auto wallNow = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
     const auto maxStarts = freeCommands(m_commandWindow, outstandingStarts());
+    const auto planStartedAt = m_context.clock.now();
     auto planned = planStarts(m_state, now, wallNow, maxStarts);
+    m_timePlanningStarts += m_context.clock.now() - planStartedAt;
     recordStartLimit(static_cast<int>(planned.size()) >= maxStarts, now);
     for (const auto& start : takeReadyStarts(m_state, m_waitingStarts, std::move(planned), now)) {
         const auto target = makeTarget(m_state.vms.find(start.vm)->second);
