--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -4,6 +4,7 @@
 #include <damaskworks/pool_plan.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace damask::fleet {
 namespace {
@@ -28,6 +29,11 @@
 /// Interval of the machine lists that show which VMs a new holder has to hear from.
 constexpr milliseconds recoveryListInterval { 1000 };
 
+std::string toMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
 bool hasRuns(const JobEntry& job)
 {
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -271,12 +277,13 @@
 {
     if (!m_begun || m_ended)
         return;
-    const auto at = m_context.clock.now() + delay;
+    const auto now = m_context.clock.now();
+    const auto at = earliestPass(m_lastPass, now + delay);
     if (m_isReconcileScheduled && m_reconcileAt <= at)
         return;
     m_isReconcileScheduled = true;
     m_reconcileAt = at;
-    m_reconcileTimer.startOnce(std::max(delay, microseconds(1)));
+    m_reconcileTimer.startOnce(std::max(std::chrono::ceil<microseconds>(at - now), microseconds(1)));
 }
 
 void PoolHolder::reconcile()
@@ -285,6 +292,7 @@
     if (m_ended || !m_ledger.isLeaseValid())
         return;
     const auto now = m_context.clock.now();
+    ++m_passes;
     requestMachineList(now);
     logRecovery(now);
     expireLeases(m_state, now);
@@ -302,6 +310,8 @@
     markDirtyIfNeeded();
     publishLoad(now);
     logWaitingTasks(now);
+    m_lastPass = { now, m_context.clock.now() };
+    m_timeInPasses += m_lastPass.endedAt - m_lastPass.begunAt;
     const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
     scheduleReconcile(isIdle ? idleReconcileInterval : reconcileInterval);
 }
@@ -376,7 +386,10 @@
             { "window", std::to_string(static_cast<int>(m_commandWindow.size)) },
             { "outstanding", std::to_string(outstandingStarts()) },
             { "command_ms", std::to_string(static_cast<int>(m_commandWindow.responseTime.count())) },
-            { "starts_limited", m_state.areStartsLimited ? "yes" : "no" } });
+            { "starts_limited", m_state.areStartsLimited ? "yes" : "no" },
+            { "passes", std::to_string(std::exchange(m_passes, 0)) },
+            { "passes_ms", toMilliseconds(std::exchange(m_timeInPasses, Duration {})) },
+            { "planning_ms", toMilliseconds(std::exchange(m_timePlanningStarts, Duration {})) } });
 }
 
 void PoolHolder::logWaitingTasks(TimePoint now)
