Keep a recovery complete when a VM that had reported ends

Cause: a VM that had reported to the new holder, then ended and was removed within 10.6 s of the takeover counted as one that has not reported. Tasks of recovered jobs waited again until two lists lacked it.

Change: a removed VM counts as one that has reported: before the deadline only those are removed.

Evidence: recoveryStaysCompleteOnceAVmThatHadReportedEnds fails without the change (not complete, nothing started) and passes with it.

--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -449,7 +449,9 @@
         return out;
     for (const auto& id : *state.platformVms) {
         const auto vm = state.vms.find(id);
-        if (vm == state.vms.end() || !vm->second.hasReported)
+        const bool hasReported
+            = vm == state.vms.end() ? state.removedVms.contains(id) : vm->second.hasReported;
+        if (!hasReported)
             out.push_back(id);
     }
     return out;
--- a/src/libscheduler/takeover_list_test.cpp
+++ b/src/libscheduler/takeover_list_test.cpp
@@ -153,4 +153,22 @@
     BOOST_TEST((longest > 10'500ms && longest < 10'700ms));
 }
 
+// A VM that had reported ended and was removed; tasks of recovered jobs then waited for it until two lists
+// lacked it.
+BOOST_AUTO_TEST_CASE(recoveryStaysCompleteOnceAVmThatHadReportedEnds)
+{
+    const std::vector<Machine> machines { machineOf("v1"), machineOf("v2") };
+    applyMachineList(state, machines);
+    reportEmpty("v2");
+    BOOST_REQUIRE(isRecoveryComplete(state, clock.now()));
+    unlistVm(state, "v2");
+    advance(listInterval);
+    markUnresponsive(state, "v2");
+    state.vms.at("v2").leaseUntil = milliseconds(0);
+    expireLeases(state, clock.now());
+    BOOST_REQUIRE(!state.vms.contains("v2"));
+    BOOST_TEST(isRecoveryComplete(state, clock.now()));
+    BOOST_TEST(starts().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
