Drive the fencing tokens in the model of takeovers

The model sent one token a holder, so VMs that had restarted or fallen silent got no starts once holders raise tokens. It now raises them as PoolHolder does.

--- a/src/libscheduler/takeover_model_test.cpp
+++ b/src/libscheduler/takeover_model_test.cpp
@@ -58,7 +58,6 @@
 struct ModelHolder {
     PoolState state;
     WaitingStarts waitingStarts;
-    std::uint64_t fence = 0;
     std::map<std::string, bool> isHeartbeatInFlight;
     std::map<std::string, TimePoint> nextHeartbeatAt;
     bool isCommitting = false;
@@ -218,9 +217,11 @@
         state.term = static_cast<std::uint64_t>(m_terms++);
         state.limits.maxVmLease = m_maxVmLease;
         state.limits.vmLease = std::min(state.limits.vmLease, m_maxVmLease);
-        m_holder->fence = state.term + 1;
+        state.fencingToken = ++m_lastToken;
         if (state.term > 0 && m_options.waitsAfterTakeovers)
             state.recoveryDeadline = recoveryDeadlineAfter(state.limits, now());
+        if (state.term > 0)
+            state.earlierStartsUntil = now() + state.limits.maxCommandDelay;
         Queue queue;
         queue.name = "quotes";
         queue.pool = "pricing";
@@ -527,6 +528,8 @@
         checkVmClock(m_holder->state, id, vmClock, sentAt, now());
     }
 
+    std::uint64_t tokenOf(const std::string& vm) const { return m_holder->state.vms.at(vm).fencingToken; }
+
     void sendStart(const StartAction& start)
     {
         const auto sentAt = now();
@@ -537,7 +540,7 @@
         };
         send(
             start.vm,
-            [this, start, fence = m_holder->fence, apply](ModelVm& vm) {
+            [this, start, fence = tokenOf(start.vm), apply](ModelVm& vm) {
                 const auto outcome = executeStart(vm, start.command, fence);
                 return [apply, outcome, vmClock = clockOf(vm)] { apply(outcome, vmClock); };
             },
@@ -553,7 +556,7 @@
         };
         send(
             stop.vm,
-            [this, stop, fence = m_holder->fence, apply](ModelVm& vm) {
+            [this, stop, fence = tokenOf(stop.vm), apply](ModelVm& vm) {
                 const auto outcome = executeStop(vm, stop, fence);
                 return [apply, outcome, vmClock = clockOf(vm)] { apply(outcome, vmClock); };
             },
@@ -571,11 +574,12 @@
             if (report)
                 return applyReport(m_holder->state, id, *report, sentAt, now());
             markUnresponsive(m_holder->state, id);
+            fenceUnsettledStarts(m_holder->state, id, now());
             applyResponse(id, report.error(), sentAt, 0ms);
         };
         send(
             id,
-            [this, command, fence = m_holder->fence, apply](ModelVm& target) {
+            [this, command, fence = vm.fencingToken, apply](ModelVm& target) {
                 return [apply, report = executeHeartbeat(target, command, fence)] { apply(report); };
             },
             [apply](CommandOutcome outcome) { apply(tl::make_unexpected(outcome)); });
@@ -588,6 +592,8 @@
         auto& state = m_holder->state;
         requestMachineList();
         expireLeases(state, now());
+        if (isNewTokenRequired(state))
+            applyNewToken(state, ++m_lastToken, now());
         for (const auto& stop : planStops(state, now()))
             sendStop(stop);
         for (const auto& start :
@@ -696,6 +702,7 @@
     std::unique_ptr<ModelHolder> m_holder;
     int m_holderNumber = 0;
     int m_terms = 0;
+    std::uint64_t m_lastToken = 0; ///< of all holders
     std::int64_t m_boots = 0;
     std::uint64_t m_starts = 0;
     std::uint64_t m_doneEnds = 0;
