Count what planning looks at; a test that fails as VMs and jobs grow

The log told how long passes take, not what they look at. Ruled out: a test of times, which differ between runs; counts do not. Change: PlanningWork counts VMs, jobs and steps, pool_load shows them each second; planning_cost_test runs the same changes in a pool of 20 and of 200 VMs. No change of logic.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -289,6 +289,15 @@
     RunEventKind kind = RunEventKind::NotListed;
 };
 
+/// Entries that were looked at, for the log and for tests of how the cost of planning grows.
+struct PlanningWork {
+    std::uint64_t vmVisits = 0; ///< by the holder's passes
+    std::uint64_t jobUpdates = 0; ///< jobs whose waiting steps were collected
+    std::uint64_t steps = 0; ///< waiting steps that planStarts() has considered
+    std::uint64_t vmChoices = 0; ///< VMs that it has considered for a task
+    std::uint64_t loadUpdates = 0; ///< jobs and VMs whose load was computed
+};
+
 /// State of a pool.
 struct PoolState {
     std::string pool;
@@ -317,6 +326,7 @@
     /// Room for long-running tasks that wait or have to leave their VM. Without it, shorter and smaller tasks
     /// take each bit of room that becomes free on a full VM.
     std::map<TaskId, ServingReservation> servingReservations;
+    mutable PlanningWork work;
 };
 
 /// A command to stop a run.
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -391,8 +391,14 @@
             { "command_ms", std::to_string(static_cast<int>(m_commandWindow.responseTime.count())) },
             { "starts_limited", m_state.areStartsLimited ? "yes" : "no" },
             { "passes", std::to_string(std::exchange(m_passes, 0)) },
+            { "vm_visits", std::to_string(m_state.work.vmVisits) },
+            { "job_updates", std::to_string(m_state.work.jobUpdates) },
+            { "steps_considered", std::to_string(m_state.work.steps) },
+            { "vms_considered", std::to_string(m_state.work.vmChoices) },
+            { "load_updates", std::to_string(m_state.work.loadUpdates) },
             { "passes_ms", toMilliseconds(std::exchange(m_timeInPasses, Duration {})) },
             { "planning_ms", toMilliseconds(std::exchange(m_timePlanningStarts, Duration {})) } });
+    m_state.work = {};
 }
 
 void PoolHolder::logWaitingTasks(TimePoint now)
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -317,6 +317,7 @@
     VmState* best = nullptr;
     Score bestScore;
     for (auto& [name, vm] : state.vms) {
+        ++state.work.vmChoices;
         if (!canHost(state, vm, step, id, now)
             || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
             continue;
--- /dev/null
+++ b/src/libscheduler/planning_cost_test.cpp
@@ -0,0 +1,106 @@
+/// What planning looks at for each start, as jobs and VMs grow and what changes does not.
+#include "pool_fixture_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damask;
+using namespace damask::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobSpec shortJob(int number)
+{
+    JobSpec job;
+    job.id = "job" + std::to_string(1'000'000 + number);
+    job.queue = "quotes";
+    job.pool = "pricing";
+    job.steps = { PoolFixture::makeStep(8, 1000 + number % 7 * 100) };
+    job.acceptedAt = WallTime(1'000'000);
+    return job;
+}
+
+std::string vmName(int number) { return "vm" + std::to_string(10'000 + number); }
+
+/// One pass of a holder. Returns the number of starts, which the VMs accept.
+std::size_t pass(PoolFixture& pool)
+{
+    auto& state = pool.state;
+    const auto now = pool.clock.now();
+    expireLeases(state, now);
+    planEvacuations(state, now);
+    planStops(state, now);
+    const auto planned = planStarts(state, now, pool.wallNow);
+    for (const auto& start : planned)
+        applyStartOutcome(
+            state, start.vm, start.command.task, start.command.run, CommandOutcome::Accepted, now);
+    std::erase_if(state.jobs, [](const auto& entry) { return isFinal(entry.second.state); });
+    computeLoad(state, now, pool.wallNow);
+    return planned.size();
+}
+
+struct Cost {
+    PlanningWork work;
+    std::size_t starts = 0;
+
+    double perStart(std::uint64_t PlanningWork::*count) const
+    {
+        return static_cast<double>(work.*count) / static_cast<double>(starts);
+    }
+};
+
+/// Cost of planning in a pool of full VMs with a backlog. At any scale the same number of runs ends.
+Cost costOfBusyPool(int scale)
+{
+    constexpr int rounds = 200;
+    constexpr int changingVms = 20;
+    constexpr std::size_t endsPerReport = 3;
+    PoolFixture pool;
+    const int vms = changingVms * scale;
+    int jobs = 0;
+    for (int i = 0; i < vms; ++i)
+        pool.addVm(vmName(i), 16'000);
+    for (; jobs < vms * 5; ++jobs)
+        addJob(pool.state, shortJob(jobs), "", false);
+    pass(pool);
+    pass(pool);
+    pool.state.work = {};
+    Cost cost;
+    for (int round = 0; round < rounds; ++round) {
+        const auto id = vmName(round % changingVms);
+        const auto& vm = pool.state.vms.at(id);
+        std::vector<EndReport> ends;
+        for (const auto& task : vm.runs) {
+            if (ends.size() == endsPerReport)
+                break;
+            const auto run = findTask(pool.state, task)->run->number;
+            ends.push_back({ vm.applied + ends.size() + 1, task, run, EndKind::Done, "" });
+        }
+        pool.report(id, ends);
+        if (round % 3 == 0)
+            addJob(pool.state, shortJob(jobs++), "", false);
+        cost.starts += pass(pool);
+    }
+    cost.work = pool.state.work;
+    return cost;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(planning_cost)
+
+// On the large deployment each pass walked all VMs and jobs, so a holder with a backlog and many VMs started
+// fewer tasks a second than one with few.
+BOOST_AUTO_TEST_CASE(planningCostsWhatChangesNotWhatIsThere)
+{
+    constexpr double tolerance = 1.25;
+    const auto small = costOfBusyPool(1);
+    const auto large = costOfBusyPool(10);
+    BOOST_REQUIRE(small.starts > 500U);
+    BOOST_REQUIRE(large.starts > 500U);
+    for (const auto count : { &PlanningWork::vmVisits, &PlanningWork::jobUpdates, &PlanningWork::steps,
+             &PlanningWork::vmChoices, &PlanningWork::loadUpdates })
+        BOOST_TEST(large.perStart(count) <= tolerance * small.perStart(count));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -305,6 +305,7 @@
 PoolLoad computeLoad(const PoolState& state, TimePoint now, WallTime wallNow)
 {
     PoolLoad load;
+    state.work.loadUpdates += state.vms.size() + state.jobs.size();
     load.arrivingCpu = arrivingCpu(state, now);
     const auto rooms = roomBesideLongRunning(state);
     const auto withRuns = machinesWithRuns(state);
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -473,6 +473,7 @@
     for (auto& [id, job] : state.jobs) {
         if (isFinal(job.state))
             continue;
+        ++state.work.jobUpdates;
         openDueOccurrences(job, wallNow);
         collectWaitingSteps(state, job, blocks, wallNow, waiting);
     }
@@ -486,6 +487,7 @@
     for (const auto& step : waiting) {
         if (out.size() >= limit)
             break;
+        ++state.work.steps;
         const auto& spec = stepOf(*step.job, step.step);
         if (!needsTicket(state, *step.job) && !hasRoomFor(failed, reservedBy(spec)))
             continue;
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -403,6 +403,7 @@
 {
     std::vector<StopAction> stops;
     const auto limit = static_cast<std::size_t>(std::max(maxStops, 0));
+    state.work.vmVisits += state.vms.size();
     for (auto& [name, vm] : state.vms) {
         for (auto& [run, nextStopAt] : vm.orphanRuns) {
             if (now < nextStopAt || stops.size() >= limit)
