Apply an evacuation to the VMs of its machine only

Cause: each change of the coordinator's rows made a holder look up every VM of its pool. Ruled out: nothing; seen by reading. Change: the holder knows the VMs of a machine, and looks at the machines whose evacuation has changed. Conclusion: the walk over all VMs at each change of the control table is gone.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -86,6 +86,7 @@
     /// Logs once that the recovery after a takeover is complete.
     void logRecovery(TimePoint now);
     void applyEvacuation(VmState& vm);
+    void removeVmOfMachine(const VmState& vm);
     /// Adds a job together with the progress that an earlier holder recorded.
     void addRecordedJob(JobSpec job, const JobRecord& record);
     /// Calls reconcile() after \p delay, or later after a long pass, unless an earlier call is scheduled.
@@ -161,6 +162,8 @@
     std::set<std::string> m_unacknowledgedVms; ///< VMs with ends that are not durable
     std::set<std::string> m_removedJobs; ///< removed jobs whose end the directory does not show yet
     std::map<std::string, std::string> m_evacuations; ///< task id by machine
+    /// Ids of the pool's VMs, and perhaps of removed ones, by machine.
+    std::map<std::string, std::set<std::string>> m_vmsByMachine;
     PoolLoad m_publishedLoad; ///< as last written
     std::optional<PoolLoad> m_pendingLoad; ///< not yet written
     TimePoint m_loadPublishedAt {};
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -4,6 +4,7 @@
 #include <damaskworks/pool_plan.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace damask::fleet {
@@ -49,6 +50,19 @@
     return false;
 }
 
+/// Machines that have another evacuation in \p after than in \p before.
+std::vector<std::string> changedMachines(
+    const std::map<std::string, std::string>& before, const std::map<std::string, std::string>& after)
+{
+    std::vector<std::pair<std::string, std::string>> changed;
+    std::set_symmetric_difference(
+        before.begin(), before.end(), after.begin(), after.end(), std::back_inserter(changed));
+    std::vector<std::string> out;
+    for (auto& [machine, task] : changed)
+        out.push_back(std::move(machine));
+    return out;
+}
+
 /// Numbers of VMs by obstacle, such as "memory:12,max_per_vm:3".
 std::string formatObstacles(const std::map<PlacementObstacle, int>& vms)
 {
@@ -245,8 +259,14 @@
             { { "vm", vm.id }, { "pool", m_state.pool }, { "boot", std::to_string(vm.bootTime) },
                 { "reported_boot", std::to_string(known->second.bootTime) },
                 { "runs", std::to_string(known->second.runs.size()) } });
+    if (known != m_state.vms.end() && known->second.entry.machine != vm.machine)
+        removeVmOfMachine(known->second);
     fleet::listVm(m_state, vm);
-    applyEvacuation(m_state.vms.at(vm.id));
+    auto& listed = m_state.vms.at(vm.id);
+    auto& vmsOfMachine = m_vmsByMachine[listed.entry.machine];
+    std::erase_if(vmsOfMachine, [&](const std::string& id) { return !m_state.vms.contains(id); });
+    vmsOfMachine.insert(vm.id);
+    applyEvacuation(listed);
     scheduleReconcile(reconcileDelay);
 }
 
@@ -256,13 +276,31 @@
     setEvacuation(m_state, vm, found == m_evacuations.end() ? "" : found->second);
 }
 
+void PoolHolder::removeVmOfMachine(const VmState& vm)
+{
+    const auto vms = m_vmsByMachine.find(vm.entry.machine);
+    if (vms == m_vmsByMachine.end())
+        return;
+    vms->second.erase(vm.entry.id);
+    if (vms->second.empty())
+        m_vmsByMachine.erase(vms);
+}
+
 void PoolHolder::setEvacuations(const std::map<std::string, std::string>& machines)
 {
-    if (m_evacuations == machines)
+    const auto changed = changedMachines(m_evacuations, machines);
+    if (changed.empty())
         return;
     m_evacuations = machines;
-    for (auto& [id, vm] : m_state.vms)
-        applyEvacuation(vm);
+    for (const auto& machine : changed) {
+        const auto vms = m_vmsByMachine.find(machine);
+        if (vms == m_vmsByMachine.end())
+            continue;
+        for (const auto& id : vms->second) {
+            if (const auto vm = m_state.vms.find(id); vm != m_state.vms.end())
+                applyEvacuation(vm->second);
+        }
+    }
     scheduleReconcile(reconcileDelay);
 }
 
