Leave out what fits on no VM, and check held-back starts after changes only

Cause: by review of the indexes. VMs whose memory is taken have free CPU that nothing can use, so each pass considered all waiting steps again; starts that wait for a record were checked in each pass; steps that room alone does not decide (long runs, trials, tickets) looked at all VMs in each pass, and passes are more frequent than before. Change: classes of need by CPU and memory with their exact least needs; needs that failed are remembered until room is freed for them; VMs by capacity, free memory and CPU; held-back starts are checked when their job or a VM has changed; what may look at all VMs is planned each 25 ms at most (PlanScope); walks over all VMs count in vms_considered again; sums of the load mark jobs for themselves only; a fencing token that is required already is no change; stops beyond the window are visited again in the next pass. Conclusion: the backlog is not walked.

--- a/src/include/damaskworks/changed_ids.h
+++ b/src/include/damaskworks/changed_ids.h
@@ -27,16 +27,23 @@
 /// Changed ids by reader, each id once.
 using ChangedIds = std::array<std::vector<std::string>, changeReaderCount>;
 
-/// Lists \p id for all readers for which it is not listed yet.
+/// Lists \p id for the reader unless it is listed already.
+inline void addChanged(
+    ChangedIds& changed, const std::string& id, PendingReaders& pending, ChangeReader reader)
+{
+    const auto index = static_cast<std::size_t>(reader);
+    const auto bit = static_cast<PendingReaders>(1U << index);
+    if (pending & bit)
+        return;
+    pending = static_cast<PendingReaders>(pending | bit);
+    changed[index].push_back(id);
+}
+
+/// Lists \p id for all readers.
 inline void addChanged(ChangedIds& changed, const std::string& id, PendingReaders& pending)
 {
-    for (std::size_t reader = 0; reader < changeReaderCount; ++reader) {
-        const auto bit = static_cast<PendingReaders>(1U << reader);
-        if (pending & bit)
-            continue;
-        pending = static_cast<PendingReaders>(pending | bit);
-        changed[reader].push_back(id);
-    }
+    for (const auto reader : { ChangeReader::Planning, ChangeReader::Visits, ChangeReader::Load })
+        addChanged(changed, id, pending, reader);
 }
 
 /// The ids that have changed since the reader's last call. \p entries maps ids to structs with a member
--- a/src/include/damaskworks/job_timing.h
+++ b/src/include/damaskworks/job_timing.h
@@ -31,8 +31,8 @@
 Timeliness earliestTimeliness(
     const JobEntry& job, int number, const OccurrenceState& occurrence, const Queue* queue, WallTime wallNow);
 /// When an occurrence whose tasks don't start gets the timeliness, Late or Overdue, by earliestTimeliness().
-WallTime becomes(const JobEntry& job, int number, const OccurrenceState& occurrence, const Queue* queue,
-    Timeliness timeliness);
+WallTime startOf(Timeliness timeliness, const JobEntry& job, int number, const OccurrenceState& occurrence,
+    const Queue* queue);
 /// Whether a single objective covers the job: it is not scheduled and has no long-running tasks.
 bool hasOneObjective(const JobSpec& job);
 
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -9,6 +9,7 @@
 #include <damaskworks/job_progress.h>
 #include <damaskworks/pass_times.h>
 #include <damaskworks/pool_ledger.h>
+#include <damaskworks/pool_plan.h>
 #include <damaskworks/pool_state.h>
 #include <damaskworks/spec_reader.h>
 #include <damaskworks/start_gate.h>
@@ -98,7 +99,9 @@
     /// Notes which of the jobs that have changed are to be recorded or removed.
     void visitJobs();
     void sendStops(const std::vector<std::string>& vms, TimePoint now);
-    void sendStarts(TimePoint now);
+    /// Lets the pass visit the VMs to which the last one could not send all stops.
+    void markLimitedStops();
+    void sendStarts(TimePoint now, PlanScope scope);
     void sendHeartbeats(const std::vector<std::string>& vms, TimePoint now);
     /// Raises the fencing token if one of the VMs requires it.
     void raiseTokenIfRequired(const std::vector<std::string>& vms, TimePoint now);
@@ -155,6 +158,7 @@
     TimePoint m_startsUnlimitedAt {}; ///< when the window last left no task waiting
     int m_startsInFlight = 0;
     int m_stopsInFlight = 0;
+    std::vector<std::string> m_vmsWithLimitedStops; ///< visited when the window left no further stops
     std::uint64_t m_batchCount = 0; ///< transactions of progress so far
     std::set<std::string> m_jobsInTransaction; ///< jobs that the transaction in flight writes
     std::set<std::string> m_dirtyJobs; ///< jobs with JobEntry::dirty
@@ -167,6 +171,8 @@
     PoolLoad m_publishedLoad; ///< as last written
     std::optional<PoolLoad> m_pendingLoad; ///< not yet written
     TimePoint m_loadPublishedAt {};
+    TimePoint m_fullPlanAt {}; ///< when the last pass planned with PlanScope::Everything
+    std::vector<std::string> m_evacuationVisits; ///< VMs that were visited since then
     TimePoint m_loadComputedAt {};
     TimePoint m_loadLoggedAt {};
     TimePoint m_waitingLoggedAt {};
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -9,12 +9,18 @@
 
 namespace damask::fleet {
 
+/// Which waiting steps a pass plans.
+enum class PlanScope {
+    Everything,
+    RoomOnly, ///< without those that may look at all VMs though they find none, see roomIndependent
+};
+
 /// Chooses VMs for waiting tasks and records the starts as runs. The caller sends the commands.
 /// \p wallNow decides which occurrences of scheduled jobs are due. Plans at most \p maxStarts starts, the
 /// most urgent first, and a gang whole if one start is left for it; the other tasks wait without reserving
 /// resources.
-std::vector<StartAction> planStarts(
-    PoolState& state, TimePoint now, WallTime wallNow, int maxStarts = std::numeric_limits<int>::max());
+std::vector<StartAction> planStarts(PoolState& state, TimePoint now, WallTime wallNow,
+    int maxStarts = std::numeric_limits<int>::max(), PlanScope scope = PlanScope::Everything);
 
 /// Applies a list of all machines, requested after the takeover. VMs that joined after the first list have
 /// run nothing for an earlier holder. A list is read page by page and may lack a VM that runs. So a VM has
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -130,6 +130,7 @@
     milliseconds criticalPath { 0 }; ///< see criticalPathLength()
     TimePoint firstStartAt {}; ///< first start command of this holder; zero: none yet
     PendingReaders pendingReaders = 0; ///< in PoolState::changedJobs
+    std::uint32_t changeCount = 0; ///< calls of markChanged()
     std::vector<IndexedStep> indexedSteps; ///< its entries in PoolState::waitingSteps
     std::optional<WallTime> nextChangeAt; ///< its entry in WaitingSteps::jobsByTime
     JobLoad load; ///< its part in PoolState::loadSums
@@ -195,6 +196,7 @@
     TimePoint unsettledStartsUntil {};
     TimePoint nextStopAt {}; ///< when planStops() has to look at its runs again; max(): after an event
     PendingReaders pendingReaders = 0; ///< in PoolState::changedVms
+    std::uint32_t changeCount = 0; ///< calls of markChanged()
     std::optional<IndexedRoom> indexedRoom; ///< its entry in PoolState::vmRoom
     std::optional<TimePoint> nextVisitAt; ///< its entry in PoolState::visitTimes
     std::optional<VmLoad> load; ///< its part in PoolState::loadSums
--- a/src/include/damaskworks/vm_room.h
+++ b/src/include/damaskworks/vm_room.h
@@ -2,26 +2,42 @@
 /// VMs of a pool by their free CPU, for the choice of a VM without a search of all.
 #pragma once
 
+#include <damaskworks/clock.h>
+#include <damaskworks/job.h>
+
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace damask::fleet {
 
-/// Position of a VM in the index. Thousandths of a core.
+/// VMs that are alike but for their free CPU.
+struct RoomClass {
+    std::int64_t capacityCpu = 0; ///< thousandths of a core
+    int freeMemory = 0; ///< class by sizeClass() of the megabytes that no run reserves
+    auto operator<=>(const RoomClass&) const = default;
+};
+
+/// Position of a VM in the index.
 struct IndexedRoom {
-    std::int64_t capacityCpu = 0;
-    std::int64_t freeCpu = 0; ///< not reserved by runs
+    RoomClass roomClass;
+    std::int64_t freeCpu = 0; ///< that no run reserves, in thousandths of a core
     bool operator==(const IndexedRoom&) const = default;
 };
 
-/// Index of the VMs that accept work. VMs of one capacity are ordered by their free CPU, then by id, so the
-/// first one with enough of it is the one that is used most.
+/// Index of the VMs that accept work, and what is known not to fit on any of them. VMs of one class are
+/// ordered by their free CPU, then by id, so the first one with enough of it is the one that is used most.
 struct VmRoom {
-    std::map<std::int64_t, std::set<std::pair<std::int64_t, std::string>>> byCapacity;
+    std::map<RoomClass, std::set<std::pair<std::int64_t, std::string>>> byClass;
+    /// Needs for which no VM has had room since room was last freed for them. None contains another.
+    std::vector<Resources> failedNeeds;
+    std::set<TimePoint> returnTimes; ///< at which VMs accept work again without an event
+    TimePoint updatedAt {}; ///< of the last update
 };
 
 } // namespace damask::fleet
--- a/src/include/damaskworks/waiting_steps.h
+++ b/src/include/damaskworks/waiting_steps.h
@@ -1,7 +1,7 @@
 /// \file
-/// Steps with tasks that wait for a VM, in the order in which they are planned. The index is kept up to date
-/// with each change of a job, so that a planning pass costs what has changed and what it starts, and not what
-/// waits.
+/// Steps with tasks that wait for a VM, in the order in which they are planned. The index is updated with
+/// each change of a job, so that the cost of a planning pass follows the changes and starts and not the
+/// backlog.
 #pragma once
 
 #include <damaskworks/clock.h>
@@ -36,12 +36,31 @@
     auto operator<=>(const WaitingStep&) const = default;
 };
 
-/// Steps grouped by the CPU that each of their tasks needs, see needClass().
-using WaitingStepsByNeed = std::map<int, std::set<WaitingStep>>;
+/// Class of the steps whose tasks need similar resources: the classes of their CPU and memory by sizeClass().
+struct NeedClass {
+    int cpu = 0;
+    int memory = 0;
+    auto operator<=>(const NeedClass&) const = default;
+};
+
+/// Class of the steps that are planned whatever room there is: without a VM, their tasks reserve one, ask for
+/// a ticket or wait for a trial.
+inline constexpr NeedClass roomIndependent {};
+
+/// Waiting steps of one class.
+struct WaitingStepsOfClass {
+    std::set<WaitingStep> steps;
+    std::multiset<std::int64_t> cpu; ///< that a task of each step needs
+    std::multiset<std::int64_t> memoryMb; ///< the same
+};
+
+/// Waiting steps grouped by what each of their tasks needs.
+using WaitingStepsByNeed = std::map<NeedClass, WaitingStepsOfClass>;
 
 /// An entry of WaitingStepsByNeed.
 struct IndexedStep {
-    int needClass = 0;
+    NeedClass needClass;
+    Resources need; ///< of a task
     WaitingStep step;
 };
 
@@ -55,10 +74,7 @@
     bool wasRecoveryComplete = false; ///< at the last update
 };
 
-/// Class of the steps whose tasks need \p cpu thousandths of a core; 0 for steps that other things than room
-/// may keep from a VM. The needs of a class differ by less than an eighth.
-int needClass(std::int64_t cpu);
-/// Least CPU of a task in the class; -1 for class 0, whose steps are planned whatever room there is.
-std::int64_t smallestNeed(int needClass);
+/// Class of a size, at least 1. The sizes of a class differ by less than a quarter of the smallest.
+int sizeClass(std::int64_t size);
 
 } // namespace damask::fleet
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -16,7 +16,10 @@
 constexpr milliseconds reconcileInterval { 100 };
 /// The same for a pool without either, whose VMs report now and then.
 constexpr milliseconds idleReconcileInterval { 5000 };
-/// Shortest time between two sums of the load, which visit every run of the pool.
+/// Shortest time between two plans of what may look at all VMs: evacuations, and tasks that need more than
+/// room.
+constexpr milliseconds fullPlanInterval { 25 };
+/// Shortest time between two updates of the sums of the load.
 constexpr milliseconds loadCheckInterval { 30 };
 /// Shortest time between two writes of the pool's load.
 constexpr milliseconds loadInterval { 150 };
@@ -338,12 +341,18 @@
     ++m_passes;
     requestMachineList(now);
     logRecovery(now);
+    markLimitedStops();
     const auto vms = takeVmVisits(m_state, now);
     expireLeases(m_state, vms, now);
-    planEvacuations(m_state, vms, now);
+    m_evacuationVisits.insert(m_evacuationVisits.end(), vms.begin(), vms.end());
+    const bool isFullPlan = now - m_fullPlanAt >= fullPlanInterval;
+    if (isFullPlan) {
+        m_fullPlanAt = now;
+        planEvacuations(m_state, std::exchange(m_evacuationVisits, {}), now);
+    }
     sendStops(vms, now);
     if (m_context.areViewsFresh()) {
-        sendStarts(now);
+        sendStarts(now, isFullPlan ? PlanScope::Everything : PlanScope::RoomOnly);
         m_advisor.requestNext();
     }
     raiseTokenIfRequired(vms, now);
@@ -359,6 +368,14 @@
     scheduleNextPass(now);
 }
 
+void PoolHolder::markLimitedStops()
+{
+    for (const auto& id : std::exchange(m_vmsWithLimitedStops, {})) {
+        if (const auto vm = m_state.vms.find(id); vm != m_state.vms.end())
+            markChanged(m_state, vm->second);
+    }
+}
+
 void PoolHolder::scheduleNextPass(TimePoint now)
 {
     const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
@@ -532,11 +549,13 @@
     }
     // Ends of runs are durable only once every job that they changed is written.
     if (batch.isComplete) {
-        for (const auto& name : m_unacknowledgedVms) {
+        std::erase_if(m_unacknowledgedVms, [&](const std::string& name) {
             const auto vm = m_state.vms.find(name);
-            if (vm != m_state.vms.end() && vm->second.applied > vm->second.acknowledged)
-                batch.ends.emplace(name, DurableEnds { vm->second.bootTime, vm->second.applied });
-        }
+            if (vm == m_state.vms.end() || vm->second.applied <= vm->second.acknowledged)
+                return true;
+            batch.ends.emplace(name, DurableEnds { vm->second.bootTime, vm->second.applied });
+            return false;
+        });
     }
     return batch;
 }
@@ -546,16 +565,10 @@
     m_jobsInTransaction.clear();
     for (const auto& [name, ends] : batch.ends) {
         auto found = m_state.vms.find(name);
-        if (found == m_state.vms.end()) {
-            m_unacknowledgedVms.erase(name);
+        if (found == m_state.vms.end() || found->second.bootTime != ends.bootTime)
             continue;
-        }
-        auto& vm = found->second;
-        if (vm.bootTime == ends.bootTime)
-            vm.acknowledged = std::max(vm.acknowledged, ends.lastNumber);
-        if (vm.acknowledged >= vm.applied)
-            m_unacknowledgedVms.erase(name);
-        markChanged(m_state, vm);
+        found->second.acknowledged = std::max(found->second.acknowledged, ends.lastNumber);
+        markChanged(m_state, found->second);
     }
     for (const auto& id : batch.jobs) {
         const auto found = m_state.jobs.find(id);
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -39,7 +39,10 @@
 void PoolHolder::sendStops(const std::vector<std::string>& vms, TimePoint now)
 {
     const auto maxStops = freeCommands(m_commandWindow, m_stopsInFlight);
-    for (const auto& stop : planStops(m_state, vms, now, maxStops)) {
+    const auto stops = planStops(m_state, vms, now, maxStops);
+    if (static_cast<int>(stops.size()) >= maxStops)
+        m_vmsWithLimitedStops = vms;
+    for (const auto& stop : stops) {
         const auto target = makeTarget(m_state.vms.find(stop.vm)->second);
         logEvent(LogLevel::Info, "task_stop",
             { { "task", toString(stop.task) }, { "run", std::to_string(stop.run) }, { "vm", stop.vm } });
@@ -64,12 +67,12 @@
     }
 }
 
-void PoolHolder::sendStarts(TimePoint now)
+void PoolHolder::sendStarts(TimePoint now, PlanScope scope)
 {
     const auto wallNow = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
     const auto maxStarts = freeCommands(m_commandWindow, outstandingStarts());
     const auto planStartedAt = m_context.clock.now();
-    auto planned = planStarts(m_state, now, wallNow, maxStarts);
+    auto planned = planStarts(m_state, now, wallNow, maxStarts, scope);
     m_timePlanningStarts += m_context.clock.now() - planStartedAt;
     recordStartLimit(static_cast<int>(planned.size()) >= maxStarts, now);
     for (const auto& start : takeReadyStarts(m_state, m_waitingStarts, std::move(planned), now)) {
@@ -237,7 +240,10 @@
                 { "vm_clock_ms", std::to_string(report->vmClock.count()) },
                 { "runs", std::to_string(vm.runs.size()) },
                 { "listed", std::to_string(report->running.size()) } });
+    const bool isBack = vm.isUnresponsive;
     applyReport(m_state, name, *report, sentAt, now);
+    if (isBack)
+        applyEvacuation(vm); // it was passed over if the VM seemed to have ended before
     if (isRebooted)
         heartbeatState.lastAckSent = 0;
     for (const auto& end : report->ended) {
--- a/src/libscheduler/job_timing.cpp
+++ b/src/libscheduler/job_timing.cpp
@@ -9,10 +9,13 @@
 /// Multiple of its objective after which a job is overdue instead of late.
 constexpr int overdueFactor = 3;
 
+/// Most jobs have fewer steps, for which no memory is allocated.
+constexpr std::size_t usualStepCount = 16;
+
 milliseconds remainingCriticalPath(const JobEntry& job, const OccurrenceState& occurrence)
 {
     const auto& steps = job.spec.steps;
-    absl::InlinedVector<milliseconds, 16> ends(steps.size());
+    absl::InlinedVector<milliseconds, usualStepCount> ends(steps.size());
     milliseconds longest { 0 };
     for (std::size_t i = 0; i < steps.size(); ++i) {
         for (int before : steps[i].after)
@@ -57,8 +60,8 @@
     return timelinessOf(took, objectiveDuration(job, queue));
 }
 
-WallTime becomes(const JobEntry& job, int number, const OccurrenceState& occurrence, const Queue* queue,
-    Timeliness timeliness)
+WallTime startOf(Timeliness timeliness, const JobEntry& job, int number, const OccurrenceState& occurrence,
+    const Queue* queue)
 {
     const auto remaining = remainingCriticalPath(job, occurrence);
     const auto objective = objectiveDuration(job, queue);
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -277,6 +277,7 @@
     VmState* quiet = nullptr;
     VmState* shared = nullptr;
     VmState* next = nullptr;
+    state.work.vmChoices += state.vms.size();
     for (auto& [name, vm] : state.vms) {
         if (!isAvailable(vm, now))
             continue;
@@ -339,11 +340,12 @@
             return &vm;
     }
     if (isRankedByUse(step) && !requiresTicket)
-        return findMostUsed(state, reservedBy(step).cpu,
-            [&](const VmState& vm) { return canHost(state, vm, step, id, now); });
+        return findMostUsed(
+            state, reservedBy(step), [&](const VmState& vm) { return canHost(state, vm, step, id, now); });
     const auto rack = step.sameRack ? siblingRack(state, job, id) : step.preferredRack;
     VmState* best = nullptr;
     Score bestScore;
+    state.work.vmChoices += state.vms.size();
     for (auto& [name, vm] : state.vms) {
         if (!canHost(state, vm, step, id, now)
             || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
--- a/src/libscheduler/planning_cost_test.cpp
+++ b/src/libscheduler/planning_cost_test.cpp
@@ -57,8 +57,23 @@
     }
 };
 
+/// What takes the memory of some VMs and leaves most of their CPU free.
+enum class LongRunning { None, MemoryBound };
+
+/// A job whose tasks each take the memory of one VM.
+JobSpec memoryBoundJob(int tasks)
+{
+    JobSpec job = shortJob(0);
+    job.id = "serving";
+    job.steps = { PoolFixture::makeStep(tasks) };
+    job.steps[0].need.memoryMb = 31'950;
+    job.steps[0].longRunning = true;
+    job.steps[0].maxPerVm = 1;
+    return job;
+}
+
 /// Cost of planning in a pool of full VMs with a backlog. At any scale the same number of runs ends.
-Cost costOfBusyPool(int scale)
+Cost costOfBusyPool(int scale, LongRunning longRunning)
 {
     constexpr int rounds = 200;
     constexpr int changingVms = 20;
@@ -66,6 +81,12 @@
     PoolFixture pool;
     const int vms = changingVms * scale;
     int jobs = 0;
+    if (longRunning == LongRunning::MemoryBound) {
+        for (int i = 0; i < scale * 4; ++i)
+            pool.addVm("memory-bound" + std::to_string(i), 16'000);
+        addJob(pool.state, memoryBoundJob(scale * 4), "", false);
+        pass(pool);
+    }
     for (int i = 0; i < vms; ++i)
         pool.addVm(vmName(i), 16'000);
     for (; jobs < vms * 5; ++jobs)
@@ -93,17 +114,11 @@
     return cost;
 }
 
-} // namespace
-
-BOOST_AUTO_TEST_SUITE(planning_cost)
-
-// On the large deployment each pass walked all VMs and jobs, so a holder with a backlog and many VMs started
-// fewer tasks a second than one with few.
-BOOST_AUTO_TEST_CASE(planningCostsWhatChangesNotWhatIsThere)
+void checkCosts(LongRunning longRunning)
 {
     constexpr double tolerance = 1.25;
-    const auto small = costOfBusyPool(1);
-    const auto large = costOfBusyPool(10);
+    const auto small = costOfBusyPool(1, longRunning);
+    const auto large = costOfBusyPool(10, longRunning);
     BOOST_REQUIRE(small.starts > 500U);
     BOOST_REQUIRE(large.starts > 500U);
     for (const auto count : { &PlanningWork::vmVisits, &PlanningWork::jobUpdates, &PlanningWork::steps,
@@ -113,4 +128,15 @@
     }
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(planning_cost)
+
+// On the large deployment each pass walked all VMs and jobs, so a holder with a backlog and many VMs started
+// fewer tasks a second than one with few.
+BOOST_AUTO_TEST_CASE(planningCostsWhatChangesNotWhatIsThere) { checkCosts(LongRunning::None); }
+
+// VMs whose memory is taken have free CPU that no waiting task can use.
+BOOST_AUTO_TEST_CASE(freeCpuWithoutMemoryCostsNothing) { checkCosts(LongRunning::MemoryBound); }
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/planning_index_test.cpp
+++ b/src/libscheduler/planning_index_test.cpp
@@ -89,22 +89,28 @@
     {
         planStarts(state, clock.now(), wallNow, 0); // updates them
         const StartBlocks blocks { isRecoveryComplete(state, clock.now()), {} };
-        std::map<int, std::set<WaitingStep>> steps;
+        std::map<NeedClass, std::set<WaitingStep>> steps;
         for (const auto& [id, job] : state.jobs) {
             if (isFinal(job.state))
                 continue;
             for (auto& step : findWaitingSteps(state, job, blocks, wallNow))
                 steps[step.needClass].insert(std::move(step.step));
         }
-        BOOST_TEST((steps == state.waitingSteps.byNeed));
-        std::map<std::int64_t, std::set<std::pair<std::int64_t, std::string>>> room;
+        BOOST_TEST(steps.size() == state.waitingSteps.byNeed.size());
+        for (const auto& [needClass, group] : state.waitingSteps.byNeed) {
+            BOOST_TEST((steps[needClass] == group.steps));
+            BOOST_TEST(group.cpu.size() == group.steps.size());
+            BOOST_TEST(group.memoryMb.size() == group.steps.size());
+        }
+        std::map<RoomClass, std::set<std::pair<std::int64_t, std::string>>> room;
         for (const auto& [id, vm] : state.vms) {
             if (mayAcceptWork(vm))
-                room[vm.entry.capacity.cpu].emplace(vm.entry.capacity.cpu - vm.used.cpu, id);
+                room[{ vm.entry.capacity.cpu, sizeClass(vm.entry.capacity.memoryMb - vm.used.memoryMb) }]
+                    .emplace(vm.entry.capacity.cpu - vm.used.cpu, id);
             BOOST_TEST((!vm.trialTask || state.trialVms.contains(id)));
             BOOST_TEST((vm.orphanRuns.empty() || state.orphanVms.contains(id)));
         }
-        BOOST_TEST((room == state.vmRoom.byCapacity));
+        BOOST_TEST((room == state.vmRoom.byClass));
         for (const auto& [id, job] : state.jobs) {
             const bool isNoted = m_noted.contains(id) || (job.pendingReaders & visitsBit);
             BOOST_TEST((isNoted || (!job.dirty && !isFinal(job.state))), id << " is to be recorded");
@@ -293,10 +299,10 @@
     /// The VM chosen for a task that only room keeps from a VM is the most used one that can take it.
     void checkChoice()
     {
-        for (const auto& [needClass, steps] : state.waitingSteps.byNeed) {
-            if (needClass == 0)
+        for (const auto& [needClass, group] : state.waitingSteps.byNeed) {
+            if (needClass == roomIndependent)
                 continue;
-            const auto& step = *steps.begin();
+            const auto& step = *group.steps.begin();
             auto& job = state.jobs.at(step.job);
             const auto& tasks
                 = job.occurrences.at(step.occurrence).steps[static_cast<std::size_t>(step.step)];
@@ -304,7 +310,8 @@
             while (tasks.tasks[static_cast<std::size_t>(id.index)].done
                 || tasks.tasks[static_cast<std::size_t>(id.index)].run)
                 ++id.index;
-            if (stepOf(job, step.step).filler)
+            const auto& spec = stepOf(job, step.step);
+            if (spec.filler || spec.gang || !spec.preferredRack.empty())
                 continue;
             const VmState* best = nullptr;
             const auto use = [](const VmState& vm) {
@@ -316,7 +323,8 @@
             }
             const auto* chosen = chooseVm(state, job, id, 10s, clock.now());
             BOOST_TEST((chosen == best));
-            BOOST_TEST((!best || largestFreeCpu(state.vmRoom) >= smallestNeed(needClass)));
+            BOOST_TEST((!best || largestFreeCpu(state.vmRoom) >= reservedBy(spec).cpu));
+            BOOST_TEST((!best || hasRoomFor(state.vmRoom, reservedBy(spec))));
         }
     }
 
@@ -345,15 +353,16 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(needClassesAreContiguous)
+BOOST_AUTO_TEST_CASE(sizeClassesAreContiguous)
 {
-    for (std::int64_t cpu = 0; cpu < 40'000; ++cpu) {
-        const int current = needClass(cpu);
-        BOOST_REQUIRE(smallestNeed(current) <= cpu);
-        BOOST_REQUIRE(smallestNeed(current + 1) > cpu);
-        BOOST_REQUIRE(needClass(cpu + 1) - current <= 1);
+    constexpr std::int64_t largest = 40'000;
+    for (std::int64_t size = 0; size < largest; ++size) {
+        const int current = sizeClass(size);
+        BOOST_REQUIRE(current >= 1);
+        const int step = sizeClass(size + 1) - current;
+        BOOST_REQUIRE((step == 0 || step == 1));
+        BOOST_REQUIRE(sizeClass(size + size / 4 + 1) > current);
     }
-    BOOST_TEST(smallestNeed(0) < 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/pool_load.cpp
+++ b/src/libscheduler/pool_load.cpp
@@ -322,8 +322,8 @@
 
 namespace {
 
-/// Most that one job adds to a sum, so that the sums of all jobs fit into 64 bits.
-constexpr std::int64_t maxJobLoad = maxPoolLoad / 1000;
+/// Most that one job adds to a sum. The sums of some 9 million jobs fit into 64 bits.
+constexpr std::int64_t maxJobLoad = 1'000'000'000'000;
 
 using Total = std::int64_t JobLoad::*;
 constexpr Total jobTotals[] = { &JobLoad::waitingCpu, &JobLoad::waitingWork, &JobLoad::overdueCpu,
@@ -472,8 +472,8 @@
     std::optional<WallTime> next;
     const auto queue = state.queues.find(job.spec.queue);
     for (const auto& [number, occurrence] : job.occurrences) {
-        const auto at = becomes(job, number, occurrence,
-            queue == state.queues.end() ? nullptr : &queue->second, Timeliness::Overdue);
+        const auto at = startOf(Timeliness::Overdue, job, number, occurrence,
+            queue == state.queues.end() ? nullptr : &queue->second);
         if (at > wallNow && (!next || at < *next))
             next = at;
     }
@@ -500,8 +500,10 @@
 {
     auto& sums = state.loadSums;
     // A wall clock may be set back.
-    if (areAllChanged || wallNow < sums.updatedAt)
-        markAllJobsChanged(state);
+    if (areAllChanged || wallNow < sums.updatedAt) {
+        for (auto& [id, job] : state.jobs)
+            addChanged(state.changedJobs, id, job.pendingReaders, ChangeReader::Load);
+    }
     sums.updatedAt = wallNow;
     auto out = takeChanged(state.changedJobs, state.jobs, ChangeReader::Load);
     for (const auto& [at, id] : sums.jobsByTime) {
--- a/src/libscheduler/pool_load_pvt.h
+++ b/src/libscheduler/pool_load_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// Upkeep of the sums of a pool's load.
+/// Removal of entries from the sums of a pool's load.
 #pragma once
 
 #include <damaskworks/pool_state.h>
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -10,6 +10,7 @@
 #include "waiting_steps_pvt.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace damask::fleet {
@@ -64,20 +65,10 @@
         state.stepsNeedingTickets.push_back({ waiting.job, waiting.occurrence, waiting.step });
 }
 
-struct FailedNeeds {
-    std::vector<Resources> needs;
-};
-
-bool hasRoomFor(const FailedNeeds& failed, const Resources& need)
-{
-    return std::none_of(failed.needs.begin(), failed.needs.end(),
-        [&](const Resources& smaller) { return fits(smaller, need); });
-}
-
 /// Starts the waiting tasks of a step one by one, until no VM can take the next.
 void placeTasks(PoolState& state, JobEntry& job, const WaitingStep& waiting, const StartBlocks& blocks,
-    TimePoint now, WallTime wallNow, std::size_t maxStarts, FailedNeeds& failed,
-    ReservationPass& reservations, std::vector<StartAction>& out)
+    TimePoint now, WallTime wallNow, std::size_t maxStarts, ReservationPass& reservations,
+    std::vector<StartAction>& out)
 {
     auto& occurrence = job.occurrences.at(waiting.occurrence);
     auto& step = occurrence.steps[static_cast<std::size_t>(waiting.step)];
@@ -108,7 +99,7 @@
         }
         if (!vm) {
             if (isUnconstrained(state, job, stepOf(job, waiting.step)))
-                failed.needs.push_back(reservedBy(stepOf(job, waiting.step)));
+                addFailedNeed(state.vmRoom, reservedBy(stepOf(job, waiting.step)));
             return recordMissingTicket(state, job, waiting);
         }
         out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint,
@@ -194,15 +185,16 @@
         [&](const TaskState& task) { return !task.isSuspect && isWaiting(task, hasUnknownRuns); });
 }
 
-/// Whether a task that is not suspect still waits in any step. Steps with suspect tasks are in class 0, so
-/// one look at another class suffices.
+/// Whether a task that is not suspect still waits in any step. Other classes have no suspect tasks, so their
+/// first step decides.
 bool hasOtherWaitingTask(PoolState& state, const StartBlocks& blocks)
 {
-    for (const auto& [needClass, steps] : state.waitingSteps.byNeed) {
-        const bool hasOther = std::any_of(steps.begin(), steps.end(), [&](const WaitingStep& step) {
-            const auto* job = jobOf(state, step);
-            return job && hasOtherWaitingTask(*job, step, blocks);
-        });
+    for (const auto& [needClass, group] : state.waitingSteps.byNeed) {
+        const bool hasOther
+            = std::any_of(group.steps.begin(), group.steps.end(), [&](const WaitingStep& step) {
+                  const auto* job = jobOf(state, step);
+                  return job && hasOtherWaitingTask(*job, step, blocks);
+              });
         if (hasOther)
             return true;
     }
@@ -233,10 +225,10 @@
 void placeRemainingSuspects(PoolState& state, const StartBlocks& blocks, TimePoint now, std::size_t maxStarts,
     std::vector<StartAction>& out)
 {
-    const auto suspects = state.waitingSteps.byNeed.find(0);
+    const auto suspects = state.waitingSteps.byNeed.find(roomIndependent);
     if (suspects == state.waitingSteps.byNeed.end() || hasOtherWaitingTask(state, blocks))
         return;
-    for (const auto& step : suspects->second) {
+    for (const auto& step : suspects->second.steps) {
         auto* job = jobOf(state, step);
         if (job && !stepOf(*job, step.step).gang)
             placeSuspects(state, *job, step, blocks, now, maxStarts, out);
@@ -312,6 +304,13 @@
     }
 }
 
+/// Whether runs of an earlier holder on the VM may be unknown.
+bool isAwaited(const PoolState& state, const std::string& id)
+{
+    const auto vm = state.vms.find(id);
+    return vm == state.vms.end() ? !state.removedVms.contains(id) : !vm->second.hasReported;
+}
+
 std::set<TaskId> findOrphanTasks(PoolState& state)
 {
     std::erase_if(state.orphanVms, [&](const std::string& id) {
@@ -361,51 +360,52 @@
     std::vector<std::string> out;
     if (!state.platformVms)
         return out;
-    for (const auto& id : *state.platformVms) {
-        const auto vm = state.vms.find(id);
-        const bool hasReported
-            = vm == state.vms.end() ? state.removedVms.contains(id) : vm->second.hasReported;
-        if (!hasReported)
-            out.push_back(id);
-    }
+    std::copy_if(state.platformVms->begin(), state.platformVms->end(), std::back_inserter(out),
+        [&](const std::string& id) { return isAwaited(state, id); });
     return out;
 }
 
 bool isRecoveryComplete(const PoolState& state, TimePoint now)
 {
-    return now >= state.recoveryDeadline || (state.platformVms && findAwaitedVms(state).empty());
+    return now >= state.recoveryDeadline
+        || (state.platformVms
+            && std::none_of(state.platformVms->begin(), state.platformVms->end(),
+                [&](const std::string& id) { return isAwaited(state, id); }));
 }
 
-std::vector<StartAction> planStarts(PoolState& state, TimePoint now, WallTime wallNow, int maxStarts)
+std::vector<StartAction> planStarts(
+    PoolState& state, TimePoint now, WallTime wallNow, int maxStarts, PlanScope scope)
 {
     const StartBlocks blocks { isRecoveryComplete(state, now), findOrphanTasks(state) };
     endTrials(state);
     dropStaleReservations(state, now);
     updateWaitingSteps(state, blocks, wallNow);
-    updateChangedRooms(state);
-    state.stepsNeedingTickets.clear();
+    updateChangedRooms(state, now);
+    if (scope == PlanScope::Everything)
+        state.stepsNeedingTickets.clear();
     std::vector<StartAction> out;
-    FailedNeeds failed;
-    ReservationPass reservations { state.limits.maxReservationAttempts, {} };
     const auto limit = static_cast<std::size_t>(std::max(maxStarts, 0));
-    WaitingStepCursor cursor(state.waitingSteps.byNeed);
+    ReservationPass reservations { state.limits.maxReservationAttempts, {} };
+    WaitingStepCursor cursor(state, scope);
     while (out.size() < limit) {
-        const auto* step = cursor.next(largestFreeCpu(state.vmRoom));
-        if (!step)
+        const auto planned = cursor.next();
+        if (!planned)
             break;
         ++state.work.steps;
-        auto* job = jobOf(state, *step);
+        const auto& step = *planned->step;
+        auto* job = jobOf(state, step);
         if (!job)
             continue;
-        const auto& spec = stepOf(*job, step->step);
-        if (!needsTicket(state, *job) && !hasRoomFor(failed, reservedBy(spec)))
+        const auto& spec = stepOf(*job, step.step);
+        if (!planned->isRoomIndependent && !hasRoomFor(state.vmRoom, reservedBy(spec)))
             continue;
         if (spec.gang)
-            placeGang(state, *job, *step, blocks, now, wallNow, out);
+            placeGang(state, *job, step, blocks, now, wallNow, out);
         else
-            placeTasks(state, *job, *step, blocks, now, wallNow, limit, failed, reservations, out);
+            placeTasks(state, *job, step, blocks, now, wallNow, limit, reservations, out);
     }
-    placeRemainingSuspects(state, blocks, now, limit, out);
+    if (scope == PlanScope::Everything)
+        placeRemainingSuspects(state, blocks, now, limit, out);
     return out;
 }
 
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -438,6 +438,7 @@
         if (now > stallsAt(state.limits, step, run)) {
             markStopping(run, now);
             recordFailure(vm, id.job, state.limits, now);
+            markChanged(state, vm);
         }
         const bool isStopping = run.phase == RunPhase::Stopping || run.phase == RunPhase::Unknown;
         if (!isStopping) {
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -7,6 +7,7 @@
 #include "vm_room_pvt.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace damask::fleet {
 
@@ -243,10 +244,12 @@
         const auto* task = findTask(state, id);
         return task && task->run && task->run->phase == RunPhase::Unknown;
     });
-    if (hasUnknownStart || now < std::max(vm.unsettledStartsUntil, state.earlierStartsUntil)) {
-        requireNewToken(vm);
-        markChanged(state, vm);
-    }
+    const bool mayStartLate
+        = hasUnknownStart || now < std::max(vm.unsettledStartsUntil, state.earlierStartsUntil);
+    if (!mayStartLate || vm.fencing != Fencing::NotRequired)
+        return;
+    requireNewToken(vm);
+    markChanged(state, vm);
 }
 
 bool isNewTokenRequired(const PoolState& state)
@@ -461,13 +464,10 @@
         if (task && task->run && !mayRunInALaterBoot(vm, *task->run, state.limits, now))
             releaseRunAs(state, id, *task, kind);
     }
-    vm.orphanRuns.clear();
+    if (!std::exchange(vm.orphanRuns, {}).empty())
+        markChanged(state, vm);
 }
 
-} // namespace
-
-namespace {
-
 /// Forgets the removed VMs that can't carry out earlier commands any more.
 void forgetRemovedVms(PoolState& state, TimePoint now)
 {
--- a/src/libscheduler/pool_visits.cpp
+++ b/src/libscheduler/pool_visits.cpp
@@ -28,11 +28,13 @@
 
 void markChanged(PoolState& state, VmState& vm)
 {
+    ++vm.changeCount;
     addChanged(state.changedVms, vm.entry.id, vm.pendingReaders);
 }
 
 void markChanged(PoolState& state, JobEntry& job)
 {
+    ++job.changeCount;
     addChanged(state.changedJobs, job.spec.id, job.pendingReaders);
 }
 
--- a/src/libscheduler/serving_reservations.cpp
+++ b/src/libscheduler/serving_reservations.cpp
@@ -144,6 +144,7 @@
     const auto need = reservedBy(step);
     VmState* soonest = nullptr;
     milliseconds soonestTime { 0 };
+    state.work.vmChoices += state.vms.size();
     for (auto& [name, vm] : state.vms) {
         if (vm.trialTask || !mayHostBesideOthers(state, vm, job, id, now))
             continue;
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -86,43 +86,73 @@
     findTask(state, start.command.task)->run->sentAt = vm.lastStartAt = now;
 }
 
+/// Sum of the change counts of the job and of the VMs of its starts.
+std::uint64_t sumChanges(const PoolState& state, const JobEntry* job, const std::vector<StartAction>& starts)
+{
+    std::uint64_t sum = job ? job->changeCount : 0;
+    for (const auto& start : starts) {
+        const auto vm = state.vms.find(start.vm);
+        sum += vm == state.vms.end() ? 0 : vm->second.changeCount;
+    }
+    return sum;
+}
+
+/// Whether the job's starts may be sent as far as its record and spec are concerned.
+bool isJobReady(PoolState& state, const JobEntry& job, const std::vector<StartAction>& starts)
+{
+    if (!job.hasRecord || !job.hasSpec)
+        return false;
+    return std::none_of(starts.begin(), starts.end(), [&](const StartAction& start) {
+        return isWanted(state, start) && waitsForRecord(state, job, start);
+    });
+}
+
+/// Moves the job's starts to \p out if they may be sent now. Returns whether it has none left.
+bool takeStarts(
+    PoolState& state, const std::string& id, HeldStarts& held, TimePoint now, std::vector<StartAction>& out)
+{
+    const auto job = state.jobs.find(id);
+    const bool isKnown = job != state.jobs.end();
+    const bool isReady = isKnown && isJobReady(state, job->second, held.starts);
+    const auto changes = sumChanges(state, isKnown ? &job->second : nullptr, held.starts);
+    if (isKnown && !isReady && held.checkedChanges == changes)
+        return false;
+    removeUnsendable(state, held.starts, now);
+    held.checkedChanges = sumChanges(state, isKnown ? &job->second : nullptr, held.starts);
+    if (held.starts.empty())
+        return true;
+    if (!isReady)
+        return false;
+    for (auto& start : held.starts) {
+        prepareCommand(state, job->second, start, now);
+        out.push_back(std::move(start));
+    }
+    return true;
+}
+
 } // namespace
 
 std::vector<StartAction> takeReadyStarts(
     PoolState& state, WaitingStarts& waiting, std::vector<StartAction> planned, TimePoint now)
 {
-    for (auto& start : planned)
-        waiting[start.command.task.job].push_back(std::move(start));
+    for (auto& start : planned) {
+        auto& held = waiting.byJob[start.command.task.job];
+        held.checkedChanges.reset();
+        held.starts.push_back(std::move(start));
+    }
     std::vector<StartAction> out;
-    for (auto it = waiting.begin(); it != waiting.end();) {
-        auto& starts = it->second;
-        removeUnsendable(state, starts, now);
-        if (starts.empty()) {
-            it = waiting.erase(it);
+    waiting.count = 0;
+    for (auto it = waiting.byJob.begin(); it != waiting.byJob.end();) {
+        if (takeStarts(state, it->first, it->second, now, out)) {
+            it = waiting.byJob.erase(it);
             continue;
         }
-        const auto& job = state.jobs.find(it->first)->second;
-        const bool isTrialUnrecorded = std::any_of(starts.begin(), starts.end(),
-            [&](const StartAction& start) { return waitsForRecord(state, job, start); });
-        if (!job.hasRecord || !job.hasSpec || isTrialUnrecorded) {
-            ++it;
-            continue;
-        }
-        for (auto& start : starts) {
-            prepareCommand(state, job, start, now);
-            out.push_back(std::move(start));
-        }
-        it = waiting.erase(it);
+        waiting.count += it->second.starts.size();
+        ++it;
     }
     return out;
 }
 
-int countWaiting(const WaitingStarts& waiting)
-{
-    std::size_t count = 0;
-    for (const auto& [job, starts] : waiting)
-        count += starts.size();
-    return static_cast<int>(count);
-}
+int countWaiting(const WaitingStarts& waiting) { return static_cast<int>(waiting.count); }
 
 } // namespace damask::fleet
--- a/src/libscheduler/vm_room.cpp
+++ b/src/libscheduler/vm_room.cpp
@@ -10,10 +10,10 @@
 {
     if (!vm.indexedRoom)
         return;
-    const auto vms = state.vmRoom.byCapacity.find(vm.indexedRoom->capacityCpu);
+    const auto vms = state.vmRoom.byClass.find(vm.indexedRoom->roomClass);
     vms->second.erase({ vm.indexedRoom->freeCpu, vm.entry.id });
     if (vms->second.empty())
-        state.vmRoom.byCapacity.erase(vms);
+        state.vmRoom.byClass.erase(vms);
     vm.indexedRoom.reset();
 }
 
@@ -21,26 +21,54 @@
 {
     if (!mayAcceptWork(vm))
         return removeRoom(state, vm);
-    const IndexedRoom room { vm.entry.capacity.cpu, vm.entry.capacity.cpu - vm.used.cpu };
+    auto free = vm.entry.capacity;
+    free -= vm.used;
+    free -= vm.reserved;
+    std::erase_if(state.vmRoom.failedNeeds, [&](const Resources& need) { return fits(need, free); });
+    for (const auto until : { vm.quarantinedUntil, vm.reservedUntil }) {
+        if (until > state.vmRoom.updatedAt)
+            state.vmRoom.returnTimes.insert(until);
+    }
+    const IndexedRoom room { { vm.entry.capacity.cpu,
+                                 sizeClass(vm.entry.capacity.memoryMb - vm.used.memoryMb) },
+        vm.entry.capacity.cpu - vm.used.cpu };
     if (vm.indexedRoom == room)
         return;
     removeRoom(state, vm);
-    state.vmRoom.byCapacity[room.capacityCpu].emplace(room.freeCpu, vm.entry.id);
+    state.vmRoom.byClass[room.roomClass].emplace(room.freeCpu, vm.entry.id);
     vm.indexedRoom = room;
 }
 
-void updateChangedRooms(PoolState& state)
+void updateChangedRooms(PoolState& state, TimePoint now)
 {
+    auto& room = state.vmRoom;
+    room.updatedAt = now;
     for (const auto& id : takeChanged(state.changedVms, state.vms, ChangeReader::Planning)) {
         if (const auto vm = state.vms.find(id); vm != state.vms.end())
             updateRoom(state, vm->second);
     }
+    if (room.returnTimes.empty() || now < *room.returnTimes.begin())
+        return;
+    room.returnTimes.erase(room.returnTimes.begin(), room.returnTimes.upper_bound(now));
+    room.failedNeeds.clear();
+}
+
+void addFailedNeed(VmRoom& room, const Resources& need)
+{
+    std::erase_if(room.failedNeeds, [&](const Resources& larger) { return fits(need, larger); });
+    room.failedNeeds.push_back(need);
+}
+
+bool hasRoomFor(const VmRoom& room, const Resources& need)
+{
+    return std::none_of(room.failedNeeds.begin(), room.failedNeeds.end(),
+        [&](const Resources& smaller) { return fits(smaller, need); });
 }
 
 std::int64_t largestFreeCpu(const VmRoom& room)
 {
     std::int64_t largest = -1;
-    for (const auto& [capacity, vms] : room.byCapacity)
+    for (const auto& [roomClass, vms] : room.byClass)
         largest = std::max(largest, vms.rbegin()->first);
     return largest;
 }
--- a/src/libscheduler/waiting_steps.cpp
+++ b/src/libscheduler/waiting_steps.cpp
@@ -4,6 +4,7 @@
 #include "placement_choice_pvt.h"
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
+#include "vm_room_pvt.h"
 
 #include <damaskworks/job_timing.h>
 
@@ -13,9 +14,7 @@
 namespace damask::fleet {
 namespace {
 
-constexpr int classesPerOctave = 8;
-/// Needs below this have classes of their own.
-constexpr std::int64_t firstOctave = classesPerOctave;
+constexpr int classesPerOctave = 4;
 
 Urgency urgencyOf(Timeliness timeliness)
 {
@@ -64,13 +63,15 @@
         [&](const TaskState& task) { return isWaiting(task, hasUnknownRuns); });
 }
 
-int needClassOf(const PoolState& state, const JobEntry& job, const StepSpec& step, const StepState& tasks)
+NeedClass needClassOf(
+    const PoolState& state, const JobEntry& job, const StepSpec& step, const StepState& tasks)
 {
     const bool hasSuspect = std::any_of(
         tasks.tasks.begin(), tasks.tasks.end(), [](const TaskState& task) { return task.isSuspect; });
-    const bool waitsForRoomOnly
-        = isUnconstrained(state, job, step) && !step.longRunning && !step.gang && !hasSuspect;
-    return waitsForRoomOnly ? needClass(reservedBy(step).cpu) : 0;
+    if (step.longRunning || hasSuspect || needsTicket(state, job))
+        return roomIndependent;
+    const auto need = reservedBy(step);
+    return { sizeClass(need.cpu), sizeClass(need.memoryMb) };
 }
 
 /// Time at which the job's entries change although the job does not.
@@ -89,7 +90,7 @@
             continue;
         const int number = indexed.step.occurrence;
         for (const auto timeliness : { Timeliness::Late, Timeliness::Overdue })
-            add(becomes(job, number, job.occurrences.at(number), queue, timeliness));
+            add(startOf(timeliness, job, number, job.occurrences.at(number), queue));
     }
     return next;
 }
@@ -98,12 +99,13 @@
 {
     auto& index = state.waitingSteps;
     for (const auto& indexed : job.indexedSteps) {
-        const auto steps = index.byNeed.find(indexed.needClass);
-        if (steps == index.byNeed.end())
-            continue;
-        steps->second.erase(indexed.step);
-        if (steps->second.empty())
-            index.byNeed.erase(steps);
+        const auto found = index.byNeed.find(indexed.needClass);
+        auto& group = found->second;
+        group.steps.erase(indexed.step);
+        group.cpu.erase(group.cpu.find(indexed.need.cpu));
+        group.memoryMb.erase(group.memoryMb.find(indexed.need.memoryMb));
+        if (group.steps.empty())
+            index.byNeed.erase(found);
     }
     job.indexedSteps.clear();
     if (job.nextChangeAt)
@@ -119,8 +121,12 @@
         return;
     openDueOccurrences(job, wallNow);
     job.indexedSteps = findWaitingSteps(state, job, blocks, wallNow);
-    for (const auto& indexed : job.indexedSteps)
-        index.byNeed[indexed.needClass].insert(indexed.step);
+    for (const auto& indexed : job.indexedSteps) {
+        auto& group = index.byNeed[indexed.needClass];
+        group.steps.insert(indexed.step);
+        group.cpu.insert(indexed.need.cpu);
+        group.memoryMb.insert(indexed.need.memoryMb);
+    }
     job.nextChangeAt = nextChange(state, job, wallNow);
     if (job.nextChangeAt)
         index.jobsByTime.emplace(*job.nextChangeAt, job.spec.id);
@@ -145,24 +151,16 @@
 
 } // namespace
 
-int needClass(std::int64_t cpu)
+int sizeClass(std::int64_t size)
 {
-    if (cpu < firstOctave)
-        return 1 + static_cast<int>(std::max<std::int64_t>(cpu, 0));
-    const auto need = static_cast<std::uint64_t>(cpu);
-    const int shift = std::bit_width(need) - std::bit_width(static_cast<std::uint64_t>(classesPerOctave));
-    const auto leading = static_cast<int>(need >> shift); // from classesPerOctave to twice as much
+    if (size < classesPerOctave)
+        return 1 + static_cast<int>(std::max<std::int64_t>(size, 0));
+    const auto value = static_cast<std::uint64_t>(size);
+    const int shift = std::bit_width(value) - std::bit_width(static_cast<std::uint64_t>(classesPerOctave));
+    const auto leading = static_cast<int>(value >> shift); // from classesPerOctave to twice as much
     return 1 + shift * classesPerOctave + leading;
 }
 
-std::int64_t smallestNeed(int needClass)
-{
-    if (needClass <= firstOctave)
-        return needClass - 1;
-    const int shift = (needClass - 1) / classesPerOctave - 1;
-    return static_cast<std::int64_t>(needClass - 1 - shift * classesPerOctave) << shift;
-}
-
 bool mayHaveUnknownRuns(
     const JobEntry& job, const OccurrenceState& occurrence, int step, const StartBlocks& blocks)
 {
@@ -198,7 +196,7 @@
                 ? Urgency::Serving
                 : urgencyOf(earliestTimeliness(job, number, occurrence, queue, wallNow));
             const auto& tasks = occurrence.steps[static_cast<std::size_t>(s)];
-            out.push_back({ needClassOf(state, job, spec, tasks), std::move(step) });
+            out.push_back({ needClassOf(state, job, spec, tasks), reservedBy(spec), std::move(step) });
         }
     }
     return out;
@@ -225,33 +223,43 @@
     }
 }
 
-WaitingStepCursor::WaitingStepCursor(const WaitingStepsByNeed& steps)
+WaitingStepCursor::WaitingStepCursor(const PoolState& state, PlanScope scope)
+    : m_room(state.vmRoom)
 {
-    m_heads.reserve(steps.size());
-    for (const auto& [needClass, entries] : steps) {
-        if (!entries.empty())
-            m_heads.push_back({ entries.begin(), entries.end(), smallestNeed(needClass) });
+    m_heads.reserve(state.waitingSteps.byNeed.size());
+    for (const auto& [needClass, group] : state.waitingSteps.byNeed) {
+        const bool isRoomIndependent = needClass == roomIndependent;
+        const Head head { group.steps.begin(), group.steps.end(),
+            { *group.cpu.begin(), *group.memoryMb.begin(), 0 }, isRoomIndependent };
+        if (mayFit(head) && (scope == PlanScope::Everything || !isRoomIndependent))
+            m_heads.push_back(head);
     }
     std::make_heap(m_heads.begin(), m_heads.end(), isLater);
 }
 
-const WaitingStep* WaitingStepCursor::next(std::int64_t freeCpu)
+bool WaitingStepCursor::mayFit(const Head& head) const
+{
+    return head.isRoomIndependent
+        || (head.smallestNeed.cpu <= largestFreeCpu(m_room) && hasRoomFor(m_room, head.smallestNeed));
+}
+
+std::optional<PlannedStep> WaitingStepCursor::next()
 {
     while (!m_heads.empty()) {
         std::pop_heap(m_heads.begin(), m_heads.end(), isLater);
         auto& head = m_heads.back();
-        if (head.smallestNeed > freeCpu) {
+        const PlannedStep step { &*head.position, head.isRoomIndependent };
+        if (!mayFit(head)) {
             m_heads.pop_back();
             continue;
         }
-        const auto& step = *head.position;
         if (++head.position == head.end)
             m_heads.pop_back();
         else
             std::push_heap(m_heads.begin(), m_heads.end(), isLater);
-        return &step;
+        return step;
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 } // namespace damask::fleet
--- a/src/libscheduler/waiting_steps_pvt.h
+++ b/src/libscheduler/waiting_steps_pvt.h
@@ -1,9 +1,11 @@
 /// \file
-/// Upkeep of the index of waiting steps, and the order in which a pass plans them.
+/// Updates of the index of waiting steps, and the order in which a pass plans them.
 #pragma once
 
+#include <damaskworks/pool_plan.h>
 #include <damaskworks/pool_state.h>
 
+#include <optional>
 #include <vector>
 
 namespace damask::fleet {
@@ -30,23 +32,32 @@
 /// Removes the job's entries.
 void removeWaitingSteps(PoolState& state, JobEntry& job);
 
-/// The waiting steps in the order of planning.
+/// A step that a pass plans next.
+struct PlannedStep {
+    const WaitingStep* step = nullptr;
+    bool isRoomIndependent = false; ///< is in the class roomIndependent
+};
+
+/// The waiting steps in the order of planning, without the classes of steps that fit on no VM. The index of
+/// waiting steps must not change meanwhile; that of the VMs may.
 class WaitingStepCursor {
 public:
-    explicit WaitingStepCursor(const WaitingStepsByNeed& steps);
-    /// The next step of a class whose smallest need is at most \p freeCpu; nullptr after the last. The
-    /// classes that need more are left out from then on.
-    const WaitingStep* next(std::int64_t freeCpu);
+    WaitingStepCursor(const PoolState& state, PlanScope scope);
+    /// The next step; empty after the last. A class that no VM has room for is left out from then on.
+    std::optional<PlannedStep> next();
 
 private:
     using Position = std::set<WaitingStep>::const_iterator;
     struct Head {
         Position position;
         Position end;
-        std::int64_t smallestNeed = 0;
+        Resources smallestNeed; ///< in each dimension, of a task in the class
+        bool isRoomIndependent = false;
     };
     static bool isLater(const Head& a, const Head& b) { return *b.position < *a.position; }
+    bool mayFit(const Head& head) const;
 
+    const VmRoom& m_room;
     std::vector<Head> m_heads; ///< a heap with the earliest step first
 };
 
