Acknowledge ends once the jobs that they changed are recorded

Cause: a transaction holds the records of 49 to 98 jobs, and ends were acknowledged only with one that held all changed jobs. While more jobs change between two commits than that, no end of any VM is acknowledged: each report lists all of its VM's ends again, waits 300 ms before it is asked for and 200 ms after, and new ends are learned that much later. Ruled out: that room stays reserved until the acknowledgement; an end releases its run when it is first listed. Change: the holder keeps the ends of each VM that are not acknowledged, with the last transaction that had written their job when they came. A batch acknowledges those in front whose job has been recorded since, or is not dirty. Ends of an earlier boot are dropped with the first report of the next.

--- a/src/include/damaskworks/job_progress.h
+++ b/src/include/damaskworks/job_progress.h
@@ -5,9 +5,12 @@
 
 #include <damaskworks/loop.h>
 #include <damaskworks/metrics.h>
+#include <damaskworks/pool_ledger.h>
 #include <damaskworks/pool_state.h>
 #include <damaskworks/shared_table.h>
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,6 +37,29 @@
 /// ago. At a turn's peak more jobs change than a transaction can hold.
 std::vector<JobEntry*> jobsToRecord(PoolState& state, const std::set<std::string>& changed);
 
+/// Adds the records of as many jobs of \p dirtyJobs to the batch as a transaction holds, and takes these out
+/// of \p dirtyJobs. \p number is that of the transaction.
+void collectRecords(
+    PoolState& state, std::set<std::string>& dirtyJobs, std::uint64_t number, LedgerBatch& batch);
+
+/// An end of a run that its VM has listed and that is applied to the state.
+struct AppliedEnd {
+    std::uint64_t number = 0; ///< see EndReport
+    std::string job;
+    std::uint64_t afterBatch = 0; ///< JobEntry::lastBatch at that time; only later records contain the end
+};
+
+/// Ends that are not acknowledged yet, by VM, each in the order of their numbers.
+using UnacknowledgedEnds = std::map<std::string, std::deque<AppliedEnd>>;
+
+/// Adds the ends in a report that has just been applied, above \p before.
+void addAppliedEnds(const PoolState& state, const std::string& vm, const VmReport& report,
+    std::uint64_t before, UnacknowledgedEnds& ends);
+/// Adds the ends to the batch that are durable once it has committed. No transaction may be in flight.
+void collectEnds(const PoolState& state, const UnacknowledgedEnds& ends, LedgerBatch& batch);
+/// Acknowledges the ends of a batch that has committed.
+void acknowledgeEnds(PoolState& state, const LedgerBatch& batch, UnacknowledgedEnds& ends);
+
 /// Reads the progress of all jobs of a pool that earlier holders have recorded.
 class ProgressReader {
 public:
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -159,7 +159,7 @@
     std::set<std::string> m_jobsInTransaction; ///< jobs that the transaction in flight writes
     std::set<std::string> m_dirtyJobs; ///< jobs with JobEntry::dirty
     std::set<std::string> m_endedJobs; ///< jobs in a final state that removeEndedJobs() has not removed
-    std::set<std::string> m_unacknowledgedVms; ///< VMs with ends that are not durable
+    UnacknowledgedEnds m_unacknowledgedEnds;
     std::set<std::string> m_removedJobs; ///< removed jobs whose end the directory does not show yet
     std::map<std::string, std::string> m_evacuations; ///< task id by machine
     /// Ids of the pool's VMs, and perhaps of removed ones, by machine.
--- a/src/libfleet/job_progress.cpp
+++ b/src/libfleet/job_progress.cpp
@@ -8,6 +8,8 @@
 
 constexpr int rowsPerPage = 500;
 constexpr std::chrono::milliseconds retryDelay { 100 };
+/// Transaction entries besides the writes: the expectation on the lease row.
+constexpr std::size_t reservedEntries = 1;
 
 } // namespace
 
@@ -42,6 +44,80 @@
     return jobs;
 }
 
+void collectRecords(
+    PoolState& state, std::set<std::string>& dirtyJobs, std::uint64_t number, LedgerBatch& batch)
+{
+    for (auto* job : jobsToRecord(state, dirtyJobs)) {
+        if (batch.writes.size() + reservedEntries + maxWritesPerJob > maxTransactionEntries) {
+            batch.isComplete = false;
+            return;
+        }
+        appendProgress(*job, batch.writes);
+        batch.jobs.insert(job->spec.id);
+        job->dirty = false;
+        job->lastBatch = number;
+        dirtyJobs.erase(job->spec.id);
+    }
+}
+
+void addAppliedEnds(const PoolState& state, const std::string& vm, const VmReport& report,
+    std::uint64_t before, UnacknowledgedEnds& ends)
+{
+    for (const auto& end : report.ended) {
+        if (end.number <= before)
+            continue;
+        before = end.number;
+        const auto job = state.jobs.find(end.task.job);
+        ends[vm].push_back({ end.number, end.task.job, job == state.jobs.end() ? 0 : job->second.lastBatch });
+    }
+}
+
+namespace {
+
+/// Number of the last end up to which all are durable once the jobs that are not dirty are; 0 if the first is
+/// not.
+std::uint64_t lastDurableEnd(const PoolState& state, const std::deque<AppliedEnd>& ends)
+{
+    std::uint64_t last = 0;
+    for (const auto& end : ends) {
+        const auto job = state.jobs.find(end.job);
+        if (job != state.jobs.end() && job->second.dirty && job->second.committedBatch <= end.afterBatch)
+            break;
+        last = end.number;
+    }
+    return last;
+}
+
+} // namespace
+
+void collectEnds(const PoolState& state, const UnacknowledgedEnds& ends, LedgerBatch& batch)
+{
+    for (const auto& [name, applied] : ends) {
+        const auto vm = state.vms.find(name);
+        if (vm == state.vms.end())
+            continue;
+        const auto last = lastDurableEnd(state, applied);
+        if (last > vm->second.acknowledged)
+            batch.ends.emplace(name, DurableEnds { vm->second.bootTime, last });
+    }
+}
+
+void acknowledgeEnds(PoolState& state, const LedgerBatch& batch, UnacknowledgedEnds& ends)
+{
+    for (const auto& [name, durable] : batch.ends) {
+        const auto vm = state.vms.find(name);
+        const auto applied = ends.find(name);
+        if (vm == state.vms.end() || vm->second.bootTime != durable.bootTime || applied == ends.end())
+            continue;
+        vm->second.acknowledged = std::max(vm->second.acknowledged, durable.lastNumber);
+        markChanged(state, vm->second);
+        while (!applied->second.empty() && applied->second.front().number <= durable.lastNumber)
+            applied->second.pop_front();
+    }
+    std::erase_if(
+        ends, [&](const auto& entry) { return entry.second.empty() || !state.vms.contains(entry.first); });
+}
+
 ProgressReader::ProgressReader(
     event_base* base, SharedTable& table, Metrics& metrics, std::string pool, Listener onRead)
     : m_table(table)
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -28,8 +28,6 @@
 /// Least time between two raises of the fencing token, each of which is a write; they serve all VMs that need
 /// one.
 constexpr milliseconds minTokenAge { 100 };
-/// Transaction entries besides the writes: the expectation on the lease row.
-constexpr std::size_t reservedEntries = 1;
 /// Interval of the machine lists that show which VMs a new holder has to hear from.
 constexpr milliseconds recoveryListInterval { 1000 };
 
@@ -518,45 +516,16 @@
         const auto job = m_state.jobs.find(id);
         return job == m_state.jobs.end() || !job->second.dirty;
     });
-    for (auto* job : jobsToRecord(m_state, m_dirtyJobs)) {
-        if (batch.writes.size() + reservedEntries + maxWritesPerJob > maxTransactionEntries) {
-            batch.isComplete = false;
-            break;
-        }
-        appendProgress(*job, batch.writes);
-        batch.jobs.insert(job->spec.id);
-        m_jobsInTransaction.insert(job->spec.id);
-        job->dirty = false;
-        m_dirtyJobs.erase(job->spec.id);
-        job->lastBatch = m_batchCount;
-    }
-    // Ends of runs are durable only once every job that they changed is written.
-    if (batch.isComplete) {
-        for (const auto& name : m_unacknowledgedVms) {
-            const auto vm = m_state.vms.find(name);
-            if (vm != m_state.vms.end() && vm->second.applied > vm->second.acknowledged)
-                batch.ends.emplace(name, DurableEnds { vm->second.bootTime, vm->second.applied });
-        }
-    }
+    collectRecords(m_state, m_dirtyJobs, m_batchCount, batch);
+    m_jobsInTransaction.insert(batch.jobs.begin(), batch.jobs.end());
+    collectEnds(m_state, m_unacknowledgedEnds, batch);
     return batch;
 }
 
 void PoolHolder::onCommitted(const LedgerBatch& batch)
 {
     m_jobsInTransaction.clear();
-    for (const auto& [name, ends] : batch.ends) {
-        auto found = m_state.vms.find(name);
-        if (found == m_state.vms.end()) {
-            m_unacknowledgedVms.erase(name);
-            continue;
-        }
-        auto& vm = found->second;
-        if (vm.bootTime == ends.bootTime)
-            vm.acknowledged = std::max(vm.acknowledged, ends.lastNumber);
-        if (vm.acknowledged >= vm.applied)
-            m_unacknowledgedVms.erase(name);
-        markChanged(m_state, vm);
-    }
+    acknowledgeEnds(m_state, batch, m_unacknowledgedEnds);
     for (const auto& id : batch.jobs) {
         const auto found = m_state.jobs.find(id);
         if (found == m_state.jobs.end())
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -228,6 +228,8 @@
     }
     const auto before = vm.applied;
     const bool isRebooted = isOfAnotherBoot(vm, *report);
+    if (!vm.hasReported || isRebooted)
+        m_unacknowledgedEnds.erase(name);
     if (!vm.hasReported || vm.isUnresponsive || isRebooted)
         logEvent(LogLevel::Info,
             isRebooted           ? "vm_restarted"
@@ -238,6 +240,7 @@
                 { "runs", std::to_string(vm.runs.size()) },
                 { "listed", std::to_string(report->running.size()) } });
     applyReport(m_state, name, *report, sentAt, now);
+    addAppliedEnds(m_state, name, *report, isRebooted ? 0 : before, m_unacknowledgedEnds);
     if (isRebooted)
         heartbeatState.lastAckSent = 0;
     for (const auto& end : report->ended) {
@@ -248,10 +251,8 @@
                 { "kind", std::string(nameOf(endKindNames, end.kind)) } });
     }
     sendThrottleCommands(name, now);
-    if (vm.applied > vm.acknowledged) {
-        m_unacknowledgedVms.insert(name);
+    if (vm.applied > vm.acknowledged)
         m_ledger.markDirty();
-    }
     // The VM returns ends at once until they are acknowledged. While the ledger can't make them
     // durable, a pause avoids a busy loop.
     const bool onlyRepeatedEnds = vm.applied == before && !report->ended.empty();
