Look once at the VMs that a recovery waits for

Cause: whether a recovery is complete was decided anew from all VMs of the platform's list, up to three times a pass, for 10.6 s after each takeover, also once all had reported. The counts of what planning looks at did not contain it. Ruled out: that a VM is awaited again: hasReported stays, one that has reported is removed into removedVms, and one that has not is not removed before the deadline. Change: the holder keeps the first VM in order that is still awaited, and whether there is none; PlanningWork counts the looks. Test: passesAfterATakeoverDontLookAtEachVmAgain, 400 VMs and 100 passes, one VM silent or none: 40,000 looks without the position (a mutation), at most 500 with it. The time that it took in a play was not measured. Conclusion: passes after a takeover follow what changes too.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -203,6 +203,7 @@
 /// Entries that were looked at, for the log and for tests of how the cost of planning grows.
 struct PlanningWork {
     std::uint64_t vmVisits = 0; ///< by the holder's passes
+    std::uint64_t awaitedVms = 0; ///< looked at for whether a recovery is complete
     std::uint64_t jobUpdates = 0; ///< in the index of waiting steps
     std::uint64_t steps = 0; ///< waiting steps that planStarts() has considered
     std::uint64_t vmChoices = 0; ///< VMs that it has considered for a task
@@ -333,6 +334,10 @@
     /// takeover and have not ended since. Empty optional: the platform has not responded yet.
     std::optional<std::set<std::string>> platformVms;
     std::set<std::string> omittedPlatformVms; ///< of platformVms, those that the last list lacked
+    /// All of platformVms before this one have reported or ended. Neither is undone while this holder has the
+    /// pool.
+    std::string firstAwaitedVm;
+    bool haveAllVmsReported = false; ///< all of platformVms have reported or ended
     /// Removed VMs, which may return, with the time until which they may carry out earlier commands.
     std::map<std::string, TimePoint, std::less<>> removedVms;
     TimePoint earlierStartsUntil {}; ///< until then VMs may carry out starts of earlier holders
--- a/src/libscheduler/planning_cost_test.cpp
+++ b/src/libscheduler/planning_cost_test.cpp
@@ -113,4 +113,27 @@
     }
 }
 
+// After a takeover each pass looked for the VMs that had not reported yet among all of the pool, for 10.6 s.
+BOOST_AUTO_TEST_CASE(passesAfterATakeoverDontLookAtEachVmAgain)
+{
+    constexpr int vms = 400;
+    constexpr int passes = 100;
+    for (const bool hasSilentVm : { false, true }) {
+        PoolFixture pool;
+        pool.state.term = 1;
+        pool.state.recoveryDeadline = recoveryDeadlineAfter(pool.state.limits, pool.clock.now());
+        std::vector<std::string> names;
+        for (int i = 0; i < vms; ++i) {
+            names.push_back(vmName(i));
+            pool.addVm(names.back(), 16'000, "r1", !hasSilentVm || i + 1 < vms);
+        }
+        pool.listMachinesOf(names);
+        for (int i = 0; i < passes; ++i) {
+            pass(pool);
+            BOOST_TEST(isRecoveryComplete(pool.state, pool.clock.now()) != hasSilentVm);
+        }
+        BOOST_TEST(pool.state.work.awaitedVms <= static_cast<std::uint64_t>(vms + passes));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -356,28 +356,58 @@
     state.omittedPlatformVms = std::move(omitted);
 }
 
+namespace {
+
+/// Whether runs of an earlier holder on one of PoolState::platformVms may be unknown.
+bool isAwaited(const PoolState& state, const std::string& id)
+{
+    const auto vm = state.vms.find(id);
+    return vm == state.vms.end() ? !state.removedVms.contains(id) : !vm->second.hasReported;
+}
+
+/// Moves PoolState::firstAwaitedVm past the VMs that have reported.
+void updateAwaitedVms(PoolState& state)
+{
+    if (!state.platformVms || state.haveAllVmsReported)
+        return;
+    auto vm = state.platformVms->lower_bound(state.firstAwaitedVm);
+    for (; vm != state.platformVms->end(); ++vm) {
+        ++state.work.awaitedVms;
+        if (isAwaited(state, *vm))
+            break;
+    }
+    state.haveAllVmsReported = vm == state.platformVms->end();
+    if (vm != state.platformVms->end())
+        state.firstAwaitedVm = *vm;
+}
+
+} // namespace
+
 std::vector<std::string> findAwaitedVms(const PoolState& state)
 {
     std::vector<std::string> out;
-    if (!state.platformVms)
+    if (!state.platformVms || state.haveAllVmsReported)
         return out;
-    for (const auto& id : *state.platformVms) {
-        const auto vm = state.vms.find(id);
-        const bool hasReported
-            = vm == state.vms.end() ? state.removedVms.contains(id) : vm->second.hasReported;
-        if (!hasReported)
-            out.push_back(id);
+    for (auto vm = state.platformVms->lower_bound(state.firstAwaitedVm); vm != state.platformVms->end();
+         ++vm) {
+        if (isAwaited(state, *vm))
+            out.push_back(*vm);
     }
     return out;
 }
 
 bool isRecoveryComplete(const PoolState& state, TimePoint now)
 {
-    return now >= state.recoveryDeadline || (state.platformVms && findAwaitedVms(state).empty());
+    if (now >= state.recoveryDeadline || state.haveAllVmsReported)
+        return true;
+    return state.platformVms
+        && std::none_of(state.platformVms->lower_bound(state.firstAwaitedVm), state.platformVms->end(),
+            [&](const std::string& id) { return isAwaited(state, id); });
 }
 
 std::vector<StartAction> planStarts(PoolState& state, TimePoint now, WallTime wallNow, int maxStarts)
 {
+    updateAwaitedVms(state);
     const StartBlocks blocks { isRecoveryComplete(state, now), findOrphanTasks(state) };
     endTrials(state);
     dropStaleReservations(state, now);
