Log what a holder's starts and acknowledgements wait for

Cause: pool_load has the window and the response time, but not whether starts are held back for a record, a spec or a trial, whether transactions hold all changed jobs, how many VMs have ends that are not acknowledged, nor how late the holder itself is, which response times include. Ruled out: a line for each start; task_start has held_back_ms already. Change: held_for_record, held_for_spec, held_for_trial, unrecorded_jobs, transactions, incomplete_transactions, unacknowledged_vms and longest_pass_delay_ms in pool_load, once a second. Test: startsThatAreHeldBackCountByWhatTheyWaitFor, for a new function; the other fields are not tested.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -172,7 +172,12 @@
     TimePoint m_waitingLoggedAt {};
     PassTimes m_lastPass;
     // Since the last log of the load.
+    std::uint64_t m_loggedBatchCount = 0; ///< m_batchCount at that time
+    int m_incompleteBatches = 0; ///< transactions that could not hold all changed jobs
     int m_passes = 0; ///< calls of reconcile()
+    /// Longest time by which a call of reconcile() was late. The same work delays responses, which the
+    /// response times of commands then include.
+    Duration m_longestPassDelay {};
     Duration m_timeInPasses {};
     Duration m_timePlanningStarts {}; ///< part of m_timeInPasses
     Duration m_timeSummingLoad {}; ///< part of m_timeInPasses
--- a/src/include/damaskworks/start_gate.h
+++ b/src/include/damaskworks/start_gate.h
@@ -24,6 +24,14 @@
 std::vector<StartAction> takeReadyStarts(
     PoolState& state, WaitingStarts& waiting, std::vector<StartAction> planned, TimePoint now);
 
+/// Numbers of starts that are held back, by what they wait for first.
+struct HeldBackStarts {
+    int record = 0; ///< of their job
+    int spec = 0;
+    int trial = 0; ///< the record of a trial of their job
+};
+
+HeldBackStarts countHeldBack(PoolState& state, const WaitingStarts& waiting);
 /// Number of starts that are held back.
 int countWaiting(const WaitingStarts& waiting);
 
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -334,6 +334,7 @@
         return;
     const auto now = m_context.clock.now();
     ++m_passes;
+    m_longestPassDelay = std::max(m_longestPassDelay, now - m_reconcileAt);
     requestMachineList(now);
     logRecovery(now);
     const auto vms = takeVmVisits(m_state, now);
@@ -448,6 +449,7 @@
     if (now - m_loadLoggedAt < loadLogInterval)
         return;
     m_loadLoggedAt = now;
+    const auto heldBack = countHeldBack(m_state, m_waitingStarts);
     logEvent(LogLevel::Info, "pool_load",
         { { "pool", m_state.pool }, { "jobs", std::to_string(m_state.jobs.size()) },
             { "vms", std::to_string(m_state.vms.size()) },
@@ -462,7 +464,16 @@
             { "outstanding", std::to_string(outstandingStarts()) },
             { "command_ms", std::to_string(static_cast<int>(m_commandWindow.responseTime.count())) },
             { "starts_limited", m_state.areStartsLimited ? "yes" : "no" },
+            { "held_for_record", std::to_string(heldBack.record) },
+            { "held_for_spec", std::to_string(heldBack.spec) },
+            { "held_for_trial", std::to_string(heldBack.trial) },
+            { "unrecorded_jobs", std::to_string(m_dirtyJobs.size()) },
+            { "transactions",
+                std::to_string(m_batchCount - std::exchange(m_loggedBatchCount, m_batchCount)) },
+            { "incomplete_transactions", std::to_string(std::exchange(m_incompleteBatches, 0)) },
+            { "unacknowledged_vms", std::to_string(m_unacknowledgedEnds.size()) },
             { "passes", std::to_string(std::exchange(m_passes, 0)) },
+            { "longest_pass_delay_ms", toMilliseconds(std::exchange(m_longestPassDelay, Duration {})) },
             { "vm_visits", std::to_string(m_state.work.vmVisits) },
             { "job_updates", std::to_string(m_state.work.jobUpdates) },
             { "steps_considered", std::to_string(m_state.work.steps) },
@@ -517,6 +528,7 @@
         return job == m_state.jobs.end() || !job->second.dirty;
     });
     collectRecords(m_state, m_dirtyJobs, m_batchCount, batch);
+    m_incompleteBatches += !batch.isComplete;
     m_jobsInTransaction.insert(batch.jobs.begin(), batch.jobs.end());
     collectEnds(m_state, m_unacknowledgedEnds, batch);
     return batch;
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -117,6 +117,24 @@
     return out;
 }
 
+HeldBackStarts countHeldBack(PoolState& state, const WaitingStarts& waiting)
+{
+    HeldBackStarts out;
+    for (const auto& [id, starts] : waiting) {
+        const auto job = state.jobs.find(id);
+        if (job == state.jobs.end())
+            continue;
+        const auto count = static_cast<int>(starts.size());
+        if (!job->second.hasRecord)
+            out.record += count;
+        else if (!job->second.hasSpec)
+            out.spec += count;
+        else
+            out.trial += count;
+    }
+    return out;
+}
+
 int countWaiting(const WaitingStarts& waiting)
 {
     std::size_t count = 0;
--- a/src/libscheduler/start_gate_test.cpp
+++ b/src/libscheduler/start_gate_test.cpp
@@ -78,6 +78,19 @@
 
 BOOST_FIXTURE_TEST_SUITE(start_gate, StartGateFixture)
 
+BOOST_AUTO_TEST_CASE(startsThatAreHeldBackCountByWhatTheyWaitFor)
+{
+    submit("j1", { makeStep(2) });
+    submit("j2", { makeStep(1) });
+    state.jobs.at("j2").hasRecord = true;
+    state.jobs.at("j2").hasSpec = false;
+    BOOST_REQUIRE(releasedStarts().empty());
+    const auto counts = countHeldBack(state, waiting);
+    BOOST_TEST(counts.record == 2);
+    BOOST_TEST(counts.spec == 1);
+    BOOST_TEST(counts.trial == 0);
+}
+
 BOOST_AUTO_TEST_CASE(firstStartsWaitForTheRecordWithResourcesReserved)
 {
     submit("j1", { makeStep(3) });
