--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -163,7 +163,7 @@
     std::set<std::string> m_jobsInTransaction; ///< jobs that the transaction in flight writes
     std::set<std::string> m_dirtyJobs; ///< jobs with JobEntry::dirty
     std::set<std::string> m_endedJobs; ///< jobs in a final state that removeEndedJobs() has not removed
-    std::set<std::string> m_unacknowledgedVms; ///< VMs with ends that are not durable
+    UnacknowledgedEnds m_unacknowledgedEnds;
     std::set<std::string> m_removedJobs; ///< removed jobs whose end the directory does not show yet
     std::map<std::string, std::string> m_evacuations; ///< task id by machine
     /// Ids of the pool's VMs, and perhaps of removed ones, by machine.
@@ -178,7 +178,12 @@
     TimePoint m_waitingLoggedAt {};
     PassTimes m_lastPass;
     // Since the last log of the load.
+    std::uint64_t m_loggedBatchCount = 0; ///< m_batchCount at that time
+    int m_incompleteBatches = 0; ///< transactions that could not hold all changed jobs
     int m_passes = 0; ///< calls of reconcile()
+    /// Longest time by which a call of reconcile() was late. The same work delays responses, which the
+    /// response times of commands then include.
+    Duration m_longestPassDelay {};
     Duration m_timeInPasses {};
     Duration m_timePlanningStarts {}; ///< part of m_timeInPasses
     Duration m_timeSummingLoad {}; ///< part of m_timeInPasses
--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -12,7 +12,7 @@
 /// Which waiting steps a pass plans.
 enum class PlanScope {
     Everything,
-    RoomOnly, ///< without those that may look at all VMs though they find none, see roomIndependent
+    RoomOnly, ///< without those of the class roomIndependent, which may look at all VMs though they find none
 };
 
 /// Chooses VMs for waiting tasks and records the starts as runs. The caller sends the commands.
--- a/src/include/damaskworks/start_gate.h
+++ b/src/include/damaskworks/start_gate.h
@@ -38,6 +38,14 @@
 std::vector<StartAction> takeReadyStarts(
     PoolState& state, WaitingStarts& waiting, std::vector<StartAction> planned, TimePoint now);
 
+/// Numbers of starts that are held back, by what they wait for first.
+struct HeldBackStarts {
+    int record = 0; ///< of their job
+    int spec = 0;
+    int trial = 0; ///< the record of a trial of their job
+};
+
+HeldBackStarts countHeldBack(PoolState& state, const WaitingStarts& waiting);
 /// Number of starts that are held back.
 int countWaiting(const WaitingStarts& waiting);
 
--- a/src/include/damaskworks/waiting_steps.h
+++ b/src/include/damaskworks/waiting_steps.h
@@ -43,8 +43,8 @@
     auto operator<=>(const NeedClass&) const = default;
 };
 
-/// Class of the steps that are planned whatever room there is: without a VM, their tasks reserve one, ask for
-/// a ticket or wait for a trial.
+/// Class of the steps that are planned whatever room there is: without a VM, their tasks reserve one or wait
+/// for a trial.
 inline constexpr NeedClass roomIndependent {};
 
 /// Waiting steps of one class.
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -16,8 +16,7 @@
 constexpr milliseconds reconcileInterval { 100 };
 /// The same for a pool without either, whose VMs report now and then.
 constexpr milliseconds idleReconcileInterval { 5000 };
-/// Shortest time between two plans of what may look at all VMs: evacuations, and tasks that need more than
-/// room.
+/// Shortest time between two plans of what may look at all VMs: evacuations, long-running tasks and trials.
 constexpr milliseconds fullPlanInterval { 25 };
 /// Shortest time between two updates of the sums of the load.
 constexpr milliseconds loadCheckInterval { 30 };
@@ -31,8 +30,6 @@
 /// Least time between two raises of the fencing token, each of which is a write; they serve all VMs that need
 /// one.
 constexpr milliseconds minTokenAge { 100 };
-/// Transaction entries besides the writes: the expectation on the lease row.
-constexpr std::size_t reservedEntries = 1;
 /// Interval of the machine lists that show which VMs a new holder has to hear from.
 constexpr milliseconds recoveryListInterval { 1000 };
 
@@ -339,6 +336,7 @@
         return;
     const auto now = m_context.clock.now();
     ++m_passes;
+    m_longestPassDelay = std::max(m_longestPassDelay, now - m_reconcileAt);
     requestMachineList(now);
     logRecovery(now);
     markLimitedStops();
@@ -381,6 +379,8 @@
     const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
     Duration delay = isIdle ? idleReconcileInterval : reconcileInterval;
     delay = std::min<Duration>(delay, earliestVisit(m_state) - now);
+    if (m_fullPlanAt != now)
+        delay = std::min<Duration>(delay, m_fullPlanAt + fullPlanInterval - now);
     if (!m_state.changedVms[static_cast<std::size_t>(ChangeReader::Visits)].empty())
         delay = reconcileDelay;
     scheduleReconcile(std::chrono::ceil<microseconds>(std::max<Duration>(delay, reconcileDelay)));
@@ -467,6 +467,7 @@
     if (now - m_loadLoggedAt < loadLogInterval)
         return;
     m_loadLoggedAt = now;
+    const auto heldBack = countHeldBack(m_state, m_waitingStarts);
     logEvent(LogLevel::Info, "pool_load",
         { { "pool", m_state.pool }, { "jobs", std::to_string(m_state.jobs.size()) },
             { "vms", std::to_string(m_state.vms.size()) },
@@ -481,7 +482,16 @@
             { "outstanding", std::to_string(outstandingStarts()) },
             { "command_ms", std::to_string(static_cast<int>(m_commandWindow.responseTime.count())) },
             { "starts_limited", m_state.areStartsLimited ? "yes" : "no" },
+            { "held_for_record", std::to_string(heldBack.record) },
+            { "held_for_spec", std::to_string(heldBack.spec) },
+            { "held_for_trial", std::to_string(heldBack.trial) },
+            { "unrecorded_jobs", std::to_string(m_dirtyJobs.size()) },
+            { "transactions",
+                std::to_string(m_batchCount - std::exchange(m_loggedBatchCount, m_batchCount)) },
+            { "incomplete_transactions", std::to_string(std::exchange(m_incompleteBatches, 0)) },
+            { "unacknowledged_vms", std::to_string(m_unacknowledgedEnds.size()) },
             { "passes", std::to_string(std::exchange(m_passes, 0)) },
+            { "longest_pass_delay_ms", toMilliseconds(std::exchange(m_longestPassDelay, Duration {})) },
             { "vm_visits", std::to_string(m_state.work.vmVisits) },
             { "job_updates", std::to_string(m_state.work.jobUpdates) },
             { "steps_considered", std::to_string(m_state.work.steps) },
@@ -535,41 +545,17 @@
         const auto job = m_state.jobs.find(id);
         return job == m_state.jobs.end() || !job->second.dirty;
     });
-    for (auto* job : jobsToRecord(m_state, m_dirtyJobs)) {
-        if (batch.writes.size() + reservedEntries + maxWritesPerJob > maxTransactionEntries) {
-            batch.isComplete = false;
-            break;
-        }
-        appendProgress(*job, batch.writes);
-        batch.jobs.insert(job->spec.id);
-        m_jobsInTransaction.insert(job->spec.id);
-        job->dirty = false;
-        m_dirtyJobs.erase(job->spec.id);
-        job->lastBatch = m_batchCount;
-    }
-    // Ends of runs are durable only once every job that they changed is written.
-    if (batch.isComplete) {
-        std::erase_if(m_unacknowledgedVms, [&](const std::string& name) {
-            const auto vm = m_state.vms.find(name);
-            if (vm == m_state.vms.end() || vm->second.applied <= vm->second.acknowledged)
-                return true;
-            batch.ends.emplace(name, DurableEnds { vm->second.bootTime, vm->second.applied });
-            return false;
-        });
-    }
+    collectRecords(m_state, m_dirtyJobs, m_batchCount, batch);
+    m_incompleteBatches += !batch.isComplete;
+    m_jobsInTransaction.insert(batch.jobs.begin(), batch.jobs.end());
+    collectEnds(m_state, m_unacknowledgedEnds, batch);
     return batch;
 }
 
 void PoolHolder::onCommitted(const LedgerBatch& batch)
 {
     m_jobsInTransaction.clear();
-    for (const auto& [name, ends] : batch.ends) {
-        auto found = m_state.vms.find(name);
-        if (found == m_state.vms.end() || found->second.bootTime != ends.bootTime)
-            continue;
-        found->second.acknowledged = std::max(found->second.acknowledged, ends.lastNumber);
-        markChanged(m_state, found->second);
-    }
+    acknowledgeEnds(m_state, batch, m_unacknowledgedEnds);
     for (const auto& id : batch.jobs) {
         const auto found = m_state.jobs.find(id);
         if (found == m_state.jobs.end())
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -153,6 +153,24 @@
     return out;
 }
 
+HeldBackStarts countHeldBack(PoolState& state, const WaitingStarts& waiting)
+{
+    HeldBackStarts out;
+    for (const auto& [id, held] : waiting.byJob) {
+        const auto job = state.jobs.find(id);
+        if (job == state.jobs.end())
+            continue;
+        const auto count = static_cast<int>(held.starts.size());
+        if (!job->second.hasRecord)
+            out.record += count;
+        else if (!job->second.hasSpec)
+            out.spec += count;
+        else
+            out.trial += count;
+    }
+    return out;
+}
+
 int countWaiting(const WaitingStarts& waiting) { return static_cast<int>(waiting.count); }
 
 } // namespace damask::fleet
--- a/src/libscheduler/waiting_steps.cpp
+++ b/src/libscheduler/waiting_steps.cpp
@@ -63,12 +63,11 @@
         [&](const TaskState& task) { return isWaiting(task, hasUnknownRuns); });
 }
 
-NeedClass needClassOf(
-    const PoolState& state, const JobEntry& job, const StepSpec& step, const StepState& tasks)
+NeedClass needClassOf(const StepSpec& step, const StepState& tasks)
 {
     const bool hasSuspect = std::any_of(
         tasks.tasks.begin(), tasks.tasks.end(), [](const TaskState& task) { return task.isSuspect; });
-    if (step.longRunning || hasSuspect || needsTicket(state, job))
+    if (step.longRunning || hasSuspect)
         return roomIndependent;
     const auto need = reservedBy(step);
     return { sizeClass(need.cpu), sizeClass(need.memoryMb) };
@@ -196,7 +195,7 @@
                 ? Urgency::Serving
                 : urgencyOf(earliestTimeliness(job, number, occurrence, queue, wallNow));
             const auto& tasks = occurrence.steps[static_cast<std::size_t>(s)];
-            out.push_back({ needClassOf(state, job, spec, tasks), reservedBy(spec), std::move(step) });
+            out.push_back({ needClassOf(spec, tasks), reservedBy(spec), std::move(step) });
         }
     }
     return out;
