--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -381,8 +381,10 @@
 void markChanged(PoolState& state, VmState& vm);
 /// Updates the indexes after a change of the job: its state or that of one of its tasks.
 void markChanged(PoolState& state, JobEntry& job);
-/// The same for all jobs, after a change of the configuration.
+/// The same for all jobs.
 void markAllJobsChanged(PoolState& state);
+/// Replaces PoolState::queues, and updates the indexes for the jobs that this concerns.
+void applyQueues(PoolState& state, const std::vector<Queue>& queues);
 
 /// Adds the work of a new job to the arrival rate.
 void recordArrival(PoolState& state, const JobSpec& job, TimePoint now);
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -174,12 +174,9 @@
 
 void PoolHolder::applyConfig(const FleetConfig& config)
 {
-    m_state.queues.clear();
-    for (const auto& queue : config.queues)
-        m_state.queues.emplace(queue.name, queue);
+    applyQueues(m_state, config.queues);
     const auto pool = config.pools.find(m_state.pool);
     m_state.enforcesCapacity = pool != config.pools.end() && pool->second.enforcesCapacity;
-    markAllJobsChanged(m_state);
     scheduleReconcile(reconcileDelay);
 }
 
--- a/src/libscheduler/planning_cost_test.cpp
+++ b/src/libscheduler/planning_cost_test.cpp
@@ -113,4 +113,40 @@
     }
 }
 
+// A node looked at every job of its pools anew at each configuration, whichever queue had changed.
+BOOST_AUTO_TEST_CASE(changedQueueCostsItsJobsNotAllJobs)
+{
+    constexpr int jobCount = 300;
+    PoolFixture pool;
+    auto& state = pool.state;
+    std::vector<Queue> queues(2, state.queues.at("quotes"));
+    queues[1].name = "renders";
+    applyQueues(state, queues);
+    pool.addVm(vmName(0), 16'000);
+    for (int i = 0; i < jobCount; ++i) {
+        auto job = shortJob(i);
+        job.queue = i == 0 ? "renders" : "quotes";
+        addJob(state, std::move(job), "", false);
+    }
+    pass(pool);
+    pass(pool);
+    state.work = {};
+    queues[1].stretch = 3;
+    applyQueues(state, queues);
+    pass(pool);
+    BOOST_TEST(state.work.jobUpdates == 1U);
+    BOOST_TEST(state.work.loadUpdates == 1U);
+    // The same configuration again, as after a failed request for changes.
+    state.work = {};
+    applyQueues(state, queues);
+    pass(pool);
+    BOOST_TEST(state.work.jobUpdates == 0U);
+    BOOST_TEST(state.work.loadUpdates == 0U);
+    // A dropped queue is a change too.
+    queues.pop_back();
+    applyQueues(state, queues);
+    pass(pool);
+    BOOST_TEST(state.work.jobUpdates == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -60,6 +60,14 @@
     return isReadable;
 }
 
+void applyQueues(PoolState& state, const std::vector<Queue>& queues)
+{
+    state.queues.clear();
+    for (const auto& queue : queues)
+        state.queues.emplace(queue.name, queue);
+    markAllJobsChanged(state);
+}
+
 void recordArrival(PoolState& state, const JobSpec& job, TimePoint now)
 {
     double work = 0;
