Update only the jobs of changed queues when a configuration is applied

Cause: applyQueues() marked all jobs as changed, so that the pass after each configuration computed the waiting steps and the load of every job anew, also after the same configuration, which a node reads again after a failed request. Ruled out: that jobs of other queues depend on a change: only state.queues.find(job.spec.queue) reads queues, and nothing reads enforcesCapacity. The rest is copying and comparing the queues. Conclusion: the pass after a configuration follows the change; the copy of the queues still follows the configuration.

--- a/src/include/damaskworks/deployment.h
+++ b/src/include/damaskworks/deployment.h
@@ -39,6 +39,8 @@
     milliseconds baseLatency { 0 }; ///< latency of a response, without that for each VM
     milliseconds latencyPerVm { 0 }; ///< additional latency for each VM in the question
     milliseconds validFor { 0 }; ///< lifetime of a ticket
+
+    bool operator==(const AdviceSettings&) const = default;
 };
 
 /// A queue of jobs. The latency objective of a job is `stretch` times the run time of its longest chain of
@@ -54,6 +56,8 @@
     milliseconds latencyTarget { 0 }; ///< constant part of the latency objective
     milliseconds timeout { 0 }; ///< longest duration of one request
     std::optional<AdviceSettings> advice; ///< if set, only VMs with a ticket may run the queue's steps
+
+    bool operator==(const Queue&) const = default;
 };
 
 /// A pool of VMs.
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -383,7 +383,7 @@
 void markChanged(PoolState& state, JobEntry& job);
 /// The same for all jobs.
 void markAllJobsChanged(PoolState& state);
-/// Replaces PoolState::queues, and updates the indexes for the jobs that this concerns.
+/// Replaces PoolState::queues, and updates the indexes for the jobs of queues that have changed.
 void applyQueues(PoolState& state, const std::vector<Queue>& queues);
 
 /// Adds the work of a new job to the arrival rate.
--- a/src/libscheduler/planning_index_test.cpp
+++ b/src/libscheduler/planning_index_test.cpp
@@ -58,6 +58,8 @@
             raiseToken();
         else if (event < 83)
             applyMachineList(state, {});
+        else if (event < 85)
+            changeQueues();
         else
             advance(milliseconds(draw(event < 98 ? 60 : 3'000)));
     }
@@ -247,6 +249,20 @@
         }
     }
 
+    /// Applies a configuration in which "urgent" is changed, dropped or added.
+    void changeQueues()
+    {
+        std::vector<Queue> queues { state.queues.at("quotes") };
+        if (draw(3)) {
+            auto urgent = queues.front();
+            urgent.name = "urgent";
+            urgent.priority = draw(3) - 1;
+            urgent.stretch = 1 + draw(3);
+            queues.push_back(urgent);
+        }
+        applyQueues(state, queues);
+    }
+
     void restartOne()
     {
         if (!state.vms.empty())
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -7,6 +7,7 @@
 #include "vm_room_pvt.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace damask::fleet {
 
@@ -62,10 +63,25 @@
 
 void applyQueues(PoolState& state, const std::vector<Queue>& queues)
 {
-    state.queues.clear();
+    const auto earlier = std::exchange(state.queues, {});
     for (const auto& queue : queues)
         state.queues.emplace(queue.name, queue);
-    markAllJobsChanged(state);
+    std::set<std::string_view> changed;
+    for (const auto& [name, queue] : state.queues) {
+        const auto before = earlier.find(name);
+        if (before == earlier.end() || before->second != queue)
+            changed.insert(name);
+    }
+    for (const auto& [name, queue] : earlier) {
+        if (!state.queues.contains(name))
+            changed.insert(name);
+    }
+    if (changed.empty())
+        return;
+    for (auto& [id, job] : state.jobs) {
+        if (changed.contains(job.spec.queue))
+            markChanged(state, job);
+    }
 }
 
 void recordArrival(PoolState& state, const JobSpec& job, TimePoint now)
