Take the record of a trial or risk back when the run has ended

Cause: a run on trial, or on a silent VM, is recorded in the job's row for the next holder. When it ended otherwise (stopped by an evacuation, withdrawn, released, or adopted and so known to have survived), nothing wrote the row again. The end was even acknowledged, since no job seemed changed. The next holder found a run on a VM that no list has, and counted a crash that the earlier holder had ruled out; after two of them it failed the job.

Ruled out: an adopted run whose trial never ends. Its sentAt is the time of adoption, so the trial ends.

Now the job is written when such a run is released, and when a holder has decided on an earlier run; the end is acknowledged only after that. The record of a run stays while nobody has decided: until it is released, and if its VM is silent and still registered when its lease has expired, so that this holder can't tell whether it has crashed.

--- a/src/libscheduler/crash_attribution.cpp
+++ b/src/libscheduler/crash_attribution.cpp
@@ -67,6 +67,9 @@
 {
     const auto run = *task.earlierRun;
     task.earlierRun.reset();
+    auto& job = state.jobs.find(id.job)->second;
+    job.dirty = true; // a later holder would decide again, by later lists of VMs
+    markChanged(state, job);
     if (task.done || (task.run && task.run->number == run.number))
         return;
     const auto vm = state.vms.find(run.vm);
--- a/src/libscheduler/crash_attribution_test.cpp
+++ b/src/libscheduler/crash_attribution_test.cpp
@@ -590,6 +590,157 @@
     BOOST_TEST(task("j1", 0, 0).provenTrialCrashes == 0);
 }
 
+namespace {
+
+/// Job j1 with one task, and holders that know it by its record.
+struct HandOverFixture : TrialFixture {
+    std::string record; ///< durable progress of j1
+
+    void commitRecord()
+    {
+        auto& job = state.jobs.at("j1");
+        if (!job.dirty)
+            return;
+        job.dirty = false;
+        record = encodeProgress(job);
+    }
+
+    /// Commits the record and lets the next holder take over. Its list of machines has only \p vm.
+    void handOver(const std::string& vm)
+    {
+        commitRecord();
+        const auto queues = state.queues;
+        const auto term = state.term + 1;
+        state = PoolState {};
+        state.pool = "pricing";
+        state.queues = queues;
+        state.term = term;
+        state.recoveryDeadline = clock.now() + 10s;
+        submit("j1", { makeStep(1) }, true, record);
+        listMachinesOf({ vm });
+    }
+
+    /// Applies a report of a VM that lists the run of \p start.
+    void reportRun(const std::string& vm, const StartAction& start)
+    {
+        VmReport out;
+        out.vmClock = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch());
+        out.bootTime = 1;
+        out.running.push_back({ start.command.task, start.command.run, "", 50, 0 });
+        applyReport(state, vm, out, clock.now(), clock.now());
+    }
+
+    /// Evacuates the VM, which then reports that it has stopped the run of \p start.
+    void evacuate(const std::string& vm, const StartAction& start)
+    {
+        setEvacuation(state, state.vms.at(vm), "7.1");
+        advance(100ms);
+        report(vm, { makeEnd(1, start, EndKind::Stopped) });
+        BOOST_REQUIRE(!task("j1", 0, 0).run);
+    }
+};
+
+} // namespace
+
+// A long-running job was given up after planned maintenance and a takeover (AVAIL 3).
+BOOST_FIXTURE_TEST_CASE(trialThatMaintenanceEndedIsNoCrashToTheNextHolder, HandOverFixture)
+{
+    submitSuspect();
+    addVm("v1");
+    auto trial = sendTrial();
+    commitRecord();
+    BOOST_REQUIRE(record.find("atRisk") != std::string::npos);
+    evacuate("v1", trial);
+    handOver("v2");
+    addVm("v2");
+    trial = sendTrial();
+    commitRecord();
+    evacuate("v2", trial);
+    handOver("v3");
+    addVm("v3");
+    starts();
+    BOOST_TEST((state.jobs.at("j1").state != JobState::Failed));
+    BOOST_TEST(task("j1", 0, 0).crashes == 1);
+    BOOST_TEST(task("j1", 0, 0).provenTrialCrashes == 0);
+}
+
+// The record of a trial that was never started counted as a crash once its VM had gone.
+BOOST_FIXTURE_TEST_CASE(withdrawnTrialIsNoCrashToTheNextHolder, HandOverFixture)
+{
+    submitSuspect();
+    addVm("v1");
+    WaitingStarts waiting;
+    BOOST_TEST(takeReadyStarts(state, waiting, starts(), clock.now()).empty());
+    commitRecord();
+    setEvacuation(state, state.vms.at("v1"), "7.1");
+    BOOST_TEST(takeReadyStarts(state, waiting, {}, clock.now()).empty());
+    BOOST_REQUIRE(!task("j1", 0, 0).run);
+    handOver("v2");
+    addVm("v2");
+    starts();
+    BOOST_TEST(task("j1", 0, 0).crashes == 1);
+}
+
+// A run that was adopted, and so had survived, counted as crashed for the holder after the next.
+BOOST_FIXTURE_TEST_CASE(riskThatAHolderHasRuledOutIsNotRecordedAnyMore, HandOverFixture)
+{
+    submit("j1", { makeStep(1) });
+    state.jobs.at("j1").hasRecord = true;
+    addVm("v1");
+    auto started = startAndAccept();
+    BOOST_REQUIRE(started.size() == 1u);
+    markUnresponsive(state, "v1");
+    handOver("v1");
+    addVm("v1", 4000, "r1", false);
+    reportRun("v1", started[0]);
+    BOOST_TEST(starts().empty());
+    BOOST_REQUIRE(task("j1", 0, 0).run);
+    commitRecord();
+    addVm("v2");
+    evacuate("v1", started[0]);
+    started = startAndAccept();
+    BOOST_REQUIRE(started.size() == 1u);
+    BOOST_REQUIRE(started[0].vm == "v2");
+    handOver("v2");
+    addVm("v2", 4000, "r1", false);
+    reportRun("v2", started[0]);
+    starts();
+    BOOST_TEST(task("j1", 0, 0).crashes == 0);
+    BOOST_TEST(!task("j1", 0, 0).isSuspect);
+}
+
+// A holder that ends before a crash is attributed leaves it to the next one.
+BOOST_FIXTURE_TEST_CASE(crashDuringATrialCountsForTheNextHolder, HandOverFixture)
+{
+    submitSuspect();
+    addVm("v1");
+    sendTrial();
+    handOver("v2");
+    addVm("v2");
+    starts();
+    BOOST_TEST(task("j1", 0, 0).crashes == 2);
+    BOOST_TEST(task("j1", 0, 0).provenTrialCrashes == 1);
+}
+
+// A holder can't tell whether a silent VM that stays registered has crashed. The next one finds it gone.
+BOOST_FIXTURE_TEST_CASE(crashOfAVmThatStayedRegisteredCountsForTheNextHolder, HandOverFixture)
+{
+    submit("j1", { makeStep(1) });
+    state.jobs.at("j1").hasRecord = true;
+    addVm("v1");
+    BOOST_REQUIRE(startAndAccept().size() == 1u);
+    markUnresponsive(state, "v1");
+    commitRecord();
+    advance(state.limits.maxVmLease * 2 + state.limits.silentVmGrace);
+    expireLeases(state, clock.now());
+    BOOST_REQUIRE(!task("j1", 0, 0).run);
+    handOver("v2");
+    addVm("v2");
+    starts();
+    BOOST_TEST(task("j1", 0, 0).crashes == 1);
+    BOOST_TEST(task("j1", 0, 0).isSuspect);
+}
+
 // A trial was started on a VM that had crashed while it was idle, and its task was charged.
 BOOST_FIXTURE_TEST_CASE(trialStartsOnlyOnAVmThatHasJustResponded, PoolFixture)
 {
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -145,12 +145,28 @@
     task.run = std::move(run);
 }
 
+namespace {
+
+/// Whether the run is released although it is not known whether its VM has crashed: the VM is silent and
+/// still registered. The next holder may learn it.
+bool mayHaveCrashedUnnoticed(const VmState& vm, const RunState& run)
+{
+    return vm.hasLeaseExpired && vm.isRegistered && !run.isCrashAttributed && !vm.entry.draining
+        && !vm.isEvacuating;
+}
+
+} // namespace
+
 void releaseRun(PoolState& state, const TaskId& id, TaskState& task)
 {
     if (!task.run)
         return;
     auto& job = state.jobs.find(id.job)->second;
     auto vm = state.vms.find(task.run->vm);
+    // The record tells the next holder that the run may have crashed its VM.
+    const bool hasRecord = task.run->trial.count() > 0 || task.run->isAtRisk;
+    if (hasRecord && (vm == state.vms.end() || !mayHaveCrashedUnnoticed(vm->second, *task.run)))
+        job.dirty = true;
     if (vm != state.vms.end() && vm->second.runs.erase(id) > 0) {
         vm->second.used -= reservedBy(stepOf(job, id.step));
         updateRoom(state, vm->second);
