Look at the lease before each command of a pass

A holder looked at its lease once, when a pass began, and sent all commands of the pass on that view. The margin between the end of its commands and the time when others may acquire the lease is 300 ms, so a longer pass, or a process suspended during one, commanded VMs of a pool that another node may have held.

On a virtual clock, with renewals that fail and a pass that begins 10 ms before the holder has to stop, of ten starts 4, 7 and 9 left after the lease could have been acquired, for passes of 0.5, 1 and 2 s; the last ones 190, 690 and 1,690 ms after it.

Stops, starts and heartbeats now look at the lease when they are sent. A start that is held back waits like one whose record is not durable, counts as not sent, and gets a new lease end. What is left is one command, or a process suspended between the look and the socket.

--- a/src/include/damaskworks/start_gate.h
+++ b/src/include/damaskworks/start_gate.h
@@ -38,6 +38,9 @@
 std::vector<StartAction> takeReadyStarts(
     PoolState& state, WaitingStarts& waiting, std::vector<StartAction> planned, TimePoint now);
 
+/// Holds back again a start that takeReadyStarts() has returned and that was not sent.
+void putBackStart(PoolState& state, WaitingStarts& waiting, const StartAction& start);
+
 /// Number of starts that are held back.
 int countWaiting(const WaitingStarts& waiting);
 
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -38,6 +38,8 @@
 
 void PoolHolder::sendStops(const std::vector<std::string>& vms, TimePoint now)
 {
+    if (!m_ledger.isLeaseValid())
+        return;
     const auto maxStops = freeCommands(m_commandWindow, m_stopsInFlight);
     const auto stops = planStops(m_state, vms, now, maxStops);
     if (static_cast<int>(stops.size()) >= maxStops)
@@ -69,6 +71,8 @@
 
 void PoolHolder::sendStarts(TimePoint now, PlanScope scope)
 {
+    if (!m_ledger.isLeaseValid())
+        return;
     const auto wallNow = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
     const auto maxStarts = freeCommands(m_commandWindow, outstandingStarts());
     const auto planStartedAt = m_context.clock.now();
@@ -76,6 +80,11 @@
     m_timePlanningStarts += m_context.clock.now() - planStartedAt;
     recordStartLimit(static_cast<int>(planned.size()) >= maxStarts, now);
     for (const auto& start : takeReadyStarts(m_state, m_waitingStarts, std::move(planned), now)) {
+        // The lease may have expired during the pass.
+        if (!m_ledger.isLeaseValid()) {
+            putBackStart(m_state, m_waitingStarts, start);
+            continue;
+        }
         const auto target = makeTarget(m_state.vms.find(start.vm)->second);
         ++m_startsInFlight;
         m_context.metrics.count("task_starts_total{pool=\"" + m_state.pool + "\"}");
@@ -173,7 +182,7 @@
                 continue;
             }
             auto& heartbeatState = m_heartbeatStates[name];
-            if (needsHeartbeat(found->second, heartbeatState, now))
+            if (m_ledger.isLeaseValid() && needsHeartbeat(found->second, heartbeatState, now))
                 sendHeartbeat(name, found->second, heartbeatState, now);
             scheduleNextVisit(found->second, heartbeatState, now);
         }
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -153,6 +153,15 @@
     return out;
 }
 
+void putBackStart(PoolState& state, WaitingStarts& waiting, const StartAction& start)
+{
+    findTask(state, start.command.task)->run->sentAt = TimePoint {};
+    auto& held = waiting.byJob[start.command.task.job];
+    held.checkedChanges.reset();
+    held.starts.push_back(start);
+    ++waiting.count;
+}
+
 int countWaiting(const WaitingStarts& waiting) { return static_cast<int>(waiting.count); }
 
 } // namespace damask::fleet
