--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -185,6 +185,7 @@
     /// response times of commands then include.
     Duration m_longestPassDelay {};
     Duration m_timeInPasses {};
+    Duration m_longestPass {};
     Duration m_timePlanningStarts {}; ///< part of m_timeInPasses
     Duration m_timeSummingLoad {}; ///< part of m_timeInPasses
     TimePoint m_nextListAt {}; ///< earliest time of the next list of machines
--- a/src/include/damaskworks/start_gate.h
+++ b/src/include/damaskworks/start_gate.h
@@ -46,6 +46,10 @@
 };
 
 HeldBackStarts countHeldBack(PoolState& state, const WaitingStarts& waiting);
+
+/// Holds back again a start that takeReadyStarts() has returned and that was not sent.
+void putBackStart(PoolState& state, WaitingStarts& waiting, const StartAction& start);
+
 /// Number of starts that are held back.
 int countWaiting(const WaitingStarts& waiting);
 
