Two tests that fail: passes without a pause, and stops that wait 50 ms for a free command

(1) fenceUnsettledStarts() marks its VM as changed at each call. expireLeases() calls it at each visit of a silent VM whose lease has expired, while starts may still be carried out, so each pass makes the next one due at once, for up to 12 s after a takeover. (2) A VM whose stop found no free command is visited again after 50 ms, not once a command is free, so that the time for n stops grows by 50 ms with each window. The first costs processor time just after takeovers, the second delays stops.

--- a/src/libscheduler/pool_state_test.cpp
+++ b/src/libscheduler/pool_state_test.cpp
@@ -687,6 +687,72 @@
     BOOST_TEST(planStops(state, clock.now(), 3).size() == 1u);
 }
 
+namespace {
+
+/// Visits the VMs that have changed or are due, as a pass of the holder does. Returns the stops.
+std::vector<StopAction> visitVms(PoolState& state, TimePoint now, int maxStops)
+{
+    const auto vms = takeVmVisits(state, now);
+    expireLeases(state, vms, now);
+    auto out = planStops(state, vms, now, maxStops);
+    for (const auto& id : vms) {
+        if (const auto vm = state.vms.find(id); vm != state.vms.end())
+            scheduleVisit(state, vm->second, nextVisit(state, vm->second, now));
+    }
+    return out;
+}
+
+} // namespace
+
+// Passes followed one another without a pause while a silent VM might still carry out a command.
+BOOST_AUTO_TEST_CASE(silentVmWhoseLeaseHasExpiredIsVisitedAtIntervals)
+{
+    addVm("v1");
+    state.earlierStartsUntil = clock.now() + 12s;
+    advance(1s);
+    markUnresponsive(state, "v1");
+    fenceUnsettledStarts(state, "v1", clock.now());
+    advance(9s);
+    std::uint64_t passes = 0;
+    for (int i = 0; i < 500; ++i) {
+        const auto& changed = state.changedVms[static_cast<std::size_t>(ChangeReader::Visits)];
+        if (!changed.empty() || earliestVisit(state) <= clock.now()) {
+            visitVms(state, clock.now(), 1);
+            ++passes;
+        }
+        advance(2ms);
+    }
+    BOOST_TEST(passes <= 21U, passes << " passes within 1 s, visits are 50 ms apart");
+}
+
+// Where more stops were due than commands were free, the next ones left 50 ms later, however soon the VMs
+// responded.
+BOOST_AUTO_TEST_CASE(stopsThatWaitForAFreeCommandLeaveOnceOneIsFree)
+{
+    constexpr int vmCount = 40;
+    constexpr int maxStops = 4;
+    for (int i = 0; i < vmCount; ++i)
+        addVm("v" + std::to_string(100 + i), 1000);
+    submit("j1", { makeStep(vmCount, 1000) });
+    BOOST_REQUIRE(startAndAccept().size() == 40U);
+    visitVms(state, clock.now(), maxStops);
+    cancelJob(state, "j1");
+    const auto begin = clock.now();
+    int sent = 0;
+    while (sent < vmCount && clock.now() < begin + 5s) {
+        const auto stops = visitVms(state, clock.now(), maxStops);
+        BOOST_REQUIRE(stops.size() <= 4U);
+        sent += static_cast<int>(stops.size());
+        advance(7ms);
+        for (const auto& stop : stops)
+            applyStopOutcome(
+                state, stop.vm, stop.task, stop.run, CommandOutcome::Accepted, clock.now(), clock.now());
+    }
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(clock.now() - begin);
+    // Ten rounds of four commands, 7 ms each, and one interval of visits.
+    BOOST_TEST((elapsed <= 120ms), elapsed.count() << " ms for " << sent << " stops");
+}
+
 BOOST_AUTO_TEST_CASE(vmWithoutReportDoesNotCountAsIdle)
 {
     addVm("v1", 4000, "r1", false);
