Mark a VM as changed only when its fencing changes

Cause: fenceUnsettledStarts() marked the VM at each call, and passes call it at each visit of a silent VM whose lease has expired. Ruled out: a mark that something else needs: requireNewToken() changes nothing for a VM that requires a token already. Change: the VM is marked when it first requires a token.

--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -243,10 +243,13 @@
         const auto* task = findTask(state, id);
         return task && task->run && task->run->phase == RunPhase::Unknown;
     });
-    if (hasUnknownStart || now < std::max(vm.unsettledStartsUntil, state.earlierStartsUntil)) {
-        requireNewToken(vm);
-        markChanged(state, vm);
-    }
+    const bool isUnsettled
+        = hasUnknownStart || now < std::max(vm.unsettledStartsUntil, state.earlierStartsUntil);
+    // Each pass calls this for a silent VM whose lease has expired.
+    if (!isUnsettled || vm.fencing != Fencing::NotRequired)
+        return;
+    requireNewToken(vm);
+    markChanged(state, vm);
 }
 
 bool isNewTokenRequired(const PoolState& state)
