Send the stops that found no free command once one is free

Cause: a VM whose stop found no free command was visited again after 50 ms. A walk over all VMs sent the next stops with the pass after a response. Ruled out: marking such VMs as changed, which would visit all of them in each pass while the window is full. Change: the state lists VMs with a waiting stop; planStops() looks at these first, at no more of them than commands are free.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -350,6 +350,8 @@
     PlanningWork work;
     std::set<std::string, std::less<>> trialVms; ///< those with a VmState::trialTask, and perhaps others
     std::set<std::string, std::less<>> orphanVms; ///< those with VmState::orphanRuns, and perhaps others
+    /// VMs with a stop that is due and that no command was free for, and perhaps others.
+    std::set<std::string, std::less<>> vmsWithWaitingStops;
 };
 
 /// A command to stop a run.
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -420,8 +420,12 @@
     std::vector<StopAction>& stops)
 {
     for (auto& [run, nextStopAt] : vm.orphanRuns) {
-        if (now < nextStopAt || stops.size() >= limit)
+        if (now < nextStopAt)
             continue;
+        if (stops.size() >= limit) {
+            state.vmsWithWaitingStops.insert(name);
+            continue;
+        }
         nextStopAt = TimePoint::max();
         stops.push_back({ name, run.first, run.second });
     }
@@ -448,6 +452,8 @@
             continue;
         if (now < run.nextStopAt || stops.size() >= limit) {
             vm.nextStopAt = std::min(vm.nextStopAt, run.nextStopAt);
+            if (now >= run.nextStopAt)
+                state.vmsWithWaitingStops.insert(name);
             continue;
         }
         run.nextStopAt = TimePoint::max();
@@ -471,10 +477,14 @@
 {
     std::vector<StopAction> stops;
     const auto limit = static_cast<std::size_t>(std::max(maxStops, 0));
-    for (const auto& name : vms) {
+    const auto plan = [&](const std::string& name) {
         if (const auto vm = state.vms.find(name); vm != state.vms.end())
             planStopsOn(state, name, vm->second, now, limit, stops);
-    }
+    };
+    while (!state.vmsWithWaitingStops.empty() && stops.size() < limit)
+        plan(state.vmsWithWaitingStops.extract(state.vmsWithWaitingStops.begin()).value());
+    for (const auto& name : vms)
+        plan(name);
     return stops;
 }
 
