Drive passes over changed VMs, and slow passes, in the model of takeovers

Ruled out: a model without takeovers by slow passes: the lease of a holder whose pass takes 1.7 s or more may go to another node while its commands leave. Change: options for passes as PoolHolder makes them since, and for passes of up to 50 ms, 500 ms and 2 s whose commands leave within that time and after which responses and registrations are read. Removals, releases, stops, tokens and heartbeats that a walk over all VMs would make are left by visits for at most one interval. Tests: the earlier two cases plan over all VMs as before; their draws and checks are as they were.

--- a/src/libscheduler/takeover_model_test.cpp
+++ b/src/libscheduler/takeover_model_test.cpp
@@ -23,6 +23,13 @@
     /// docs/platform-questions.md, 7.
     bool nextBootExecutesLateCommands = false;
     bool waitsAfterTakeovers = true;
+    /// Passes visit the VMs that have changed or are due, as those of PoolHolder, instead of all.
+    bool visitsChangedVms = false;
+    int maxStops = 1000; ///< of a pass that visits the VMs that have changed
+    /// Longest time that a slow pass takes. Its commands leave within that time; responses and changes of the
+    /// registry wait until its end.
+    milliseconds slowPass { 0 };
+    double slowPasses = 0.2; ///< share of the passes that are slow
 };
 
 struct ModelRun {
@@ -54,12 +61,23 @@
     std::map<TaskId, std::uint32_t> lastOver; ///< highest run that was stopped or has ended
 };
 
+/// State of the heartbeats to one VM, see PoolHolder.
+struct ModelHeartbeats {
+    TimePoint ackPendingSince {};
+    std::uint64_t lastAckSent = 0;
+};
+
 /// A node that holds the pool's lease.
 struct ModelHolder {
     PoolState state;
     WaitingStarts waitingStarts;
     std::map<std::string, bool> isHeartbeatInFlight;
     std::map<std::string, TimePoint> nextHeartbeatAt;
+    std::map<std::string, ModelHeartbeats> heartbeats; ///< with ModelOptions::visitsChangedVms
+    std::set<std::string> dirtyJobs; ///< with ModelOptions::visitsChangedVms
+    TimePoint busyUntil {}; ///< end of a slow pass
+    TimePoint nextPassAt {}; ///< with ModelOptions::visitsChangedVms
+    bool isRaisingToken = false;
     bool isCommitting = false;
     std::uint64_t batchCount = 0;
     bool isListing = false;
@@ -92,13 +110,16 @@
                 event();
             }
             stepVms();
-            if (m_holder)
-                reconcile();
+            if (m_holder && now() >= m_holder->busyUntil)
+                pass();
             m_clock.advance(10ms);
         }
     }
 
     const std::string& violation() const { return m_violation; }
+    /// Longest time for which a VM was not visited although a pass over all VMs had acted on it.
+    milliseconds longestOmission() const { return m_longestOmission; }
+    int takeovers() const { return m_terms - 1; }
     std::uint64_t starts() const { return m_starts; }
     std::uint64_t doneEnds() const { return m_doneEnds; }
 
@@ -146,8 +167,7 @@
         if (!vm.isUp || now() >= vm.reachesTableUntil)
             return;
         vm.isRegistered = true;
-        if (m_holder)
-            listVm(m_holder->state, registrationOf(vm));
+        callHolder(m_holderNumber, [this, entry = registrationOf(vm)] { listVm(m_holder->state, entry); });
     }
 
     void expireRegistration(const std::string& id, std::int64_t bootTime)
@@ -156,8 +176,7 @@
         if (vm.isUp && (vm.bootTime != bootTime || now() < vm.reachesTableUntil))
             return;
         vm.isRegistered = false;
-        if (m_holder)
-            unlistVm(m_holder->state, id);
+        callHolder(m_holderNumber, [this, id] { unlistVm(m_holder->state, id); });
     }
 
     milliseconds clockOf(const ModelVm& vm) const
@@ -195,6 +214,7 @@
         if (!m_holder)
             return;
         m_holder.reset();
+        m_dueSince.clear();
         ++m_holderNumber;
         // Some VMs that were silent answer the next holder.
         for (auto& [id, vm] : m_vms) {
@@ -294,8 +314,10 @@
             job.steps.push_back(step);
         }
         m_jobs.emplace(job.id, job);
-        if (m_holder)
-            addJob(m_holder->state, job, "", false);
+        callHolder(m_holderNumber, [this, job] {
+            if (!m_holder->state.jobs.contains(job.id))
+                addJob(m_holder->state, job, "", false);
+        });
     }
 
     // VMs
@@ -474,10 +496,20 @@
     /// holder that sent it; \p fail is called on the holder without a response.
     void send(const std::string& id, const std::function<std::function<void()>(ModelVm&)>& execute,
         const std::function<void(CommandOutcome)>& fail)
+    {
+        const auto rest = std::chrono::duration_cast<milliseconds>(m_holder->busyUntil - now());
+        if (rest <= 0ms)
+            return sendNow(id, execute, fail, m_holderNumber);
+        after(msBetween(0, static_cast<int>(rest.count())),
+            [this, id, execute, fail, number = m_holderNumber] { sendNow(id, execute, fail, number); });
+    }
+
+    void sendNow(const std::string& id, const std::function<std::function<void()>(ModelVm&)>& execute,
+        const std::function<void(CommandOutcome)>& fail, int holder)
     {
         const auto& vm = m_vms.at(id);
         const auto failAfter = [&](milliseconds delay, CommandOutcome outcome) {
-            after(delay, onHolder([fail, outcome] { fail(outcome); }));
+            after(delay, [this, holder, fail, outcome] { callHolder(holder, [=] { fail(outcome); }); });
         };
         const auto bootTime = vm.bootTime;
         const auto isIntendedBoot = [this, id, bootTime] {
@@ -500,25 +532,34 @@
             });
             return failAfter(500ms, CommandOutcome::Unknown);
         }
-        after(msBetween(0, 30), [this, id, execute, isIntendedBoot, fail, number = m_holderNumber] {
+        after(msBetween(0, 30), [this, id, execute, isIntendedBoot, fail, holder] {
             auto& target = m_vms.at(id);
             const auto respond = isIntendedBoot() ? execute(target) : nullptr;
             const bool isLost = !respond || now() < target.muteUntil || now() < target.unreachableUntil;
-            after(isLost ? 500ms : msBetween(0, 60), [this, number, respond, isLost, fail] {
-                if (!m_holder || number != m_holderNumber)
-                    return;
-                isLost ? fail(CommandOutcome::Unknown) : respond();
+            after(isLost ? 500ms : msBetween(0, 60), [this, holder, respond, isLost, fail] {
+                callHolder(holder, [=] { isLost ? fail(CommandOutcome::Unknown) : respond(); });
             });
         });
     }
 
+    /// Calls \p function, after a slow pass, unless another node holds the pool by then.
+    void callHolder(int holder, const std::function<void()>& function)
+    {
+        if (!m_holder || holder != m_holderNumber)
+            return;
+        if (now() < m_holder->busyUntil) {
+            m_events.emplace(m_holder->busyUntil, [this, holder, function] { callHolder(holder, function); });
+            return;
+        }
+        function();
+        m_holder->nextPassAt = now();
+    }
+
     /// Calls \p function unless another node holds the pool by then.
     std::function<void()> onHolder(std::function<void()> function)
     {
-        return [this, function = std::move(function), number = m_holderNumber] {
-            if (m_holder && number == m_holderNumber)
-                function();
-        };
+        return
+            [this, function = std::move(function), number = m_holderNumber] { callHolder(number, function); };
     }
 
     void applyResponse(const std::string& id, CommandOutcome outcome, TimePoint sentAt, milliseconds vmClock)
@@ -571,11 +612,18 @@
         const auto apply = [this, id, sentAt](const tl::expected<VmReport, CommandOutcome>& report) {
             m_holder->isHeartbeatInFlight[id] = false;
             m_holder->nextHeartbeatAt[id] = now() + (report ? 50ms : 200ms);
-            if (report)
+            const auto vm = m_holder->state.vms.find(id);
+            if (vm != m_holder->state.vms.end())
+                markChanged(m_holder->state, vm->second);
+            if (report) {
+                if (vm != m_holder->state.vms.end() && isOfAnotherBoot(vm->second, *report))
+                    m_holder->heartbeats[id].lastAckSent = 0;
                 return applyReport(m_holder->state, id, *report, sentAt, now());
+            }
             markUnresponsive(m_holder->state, id);
             fenceUnsettledStarts(m_holder->state, id, now());
             applyResponse(id, report.error(), sentAt, 0ms);
+            m_holder->heartbeats[id].lastAckSent = 0;
         };
         send(
             id,
@@ -587,6 +635,155 @@
 
     // The holder's pass, as PoolHolder::reconcile()
 
+    void pass()
+    {
+        if (m_options.visitsChangedVms)
+            checkVisits();
+        if (m_options.visitsChangedVms && now() < m_holder->nextPassAt)
+            return;
+        if (m_options.slowPass > 0ms && chance(m_options.slowPasses))
+            m_holder->busyUntil = now() + msBetween(1, static_cast<int>(m_options.slowPass.count()));
+        // The lease of a holder that does not renew it in time goes to another node.
+        if (m_holder->busyUntil - now() >= 1700ms && chance(0.3))
+            after(msBetween(300, 2300), [this, number = m_holderNumber] {
+                if (number == m_holderNumber)
+                    loseHolder();
+            });
+        if (m_options.visitsChangedVms)
+            reconcileChanged();
+        else
+            reconcile();
+    }
+
+    void reconcileChanged()
+    {
+        auto& state = m_holder->state;
+        requestMachineList();
+        const auto vms = takeVmVisits(state, now());
+        expireLeases(state, vms, now());
+        for (const auto& stop : planStops(state, vms, now(), m_options.maxStops))
+            sendStop(stop);
+        for (const auto& start :
+            takeReadyStarts(state, m_holder->waitingStarts, planStarts(state, now(), wallNow()), now()))
+            sendStart(start);
+        raiseTokenIfRequired(vms);
+        const auto startedOn = state.changedVms[static_cast<std::size_t>(ChangeReader::Visits)];
+        for (const auto* names : { &vms, &startedOn }) {
+            for (const auto& id : *names) {
+                if (const auto vm = state.vms.find(id); vm != state.vms.end())
+                    visitHeartbeat(id, vm->second);
+            }
+        }
+        state.runEvents.clear();
+        commitChanged();
+        m_holder->nextPassAt = now() + std::min<Duration>(100ms, earliestVisit(state) - now());
+        if (!state.changedVms[static_cast<std::size_t>(ChangeReader::Visits)].empty())
+            m_holder->nextPassAt = now();
+    }
+
+    void raiseTokenIfRequired(const std::vector<std::string>& vms)
+    {
+        const auto& all = m_holder->state.vms;
+        const bool isRequired = std::any_of(vms.begin(), vms.end(), [&](const std::string& id) {
+            const auto vm = all.find(id);
+            return vm != all.end() && vm->second.fencing == Fencing::TokenRequired;
+        });
+        if (!isRequired || std::exchange(m_holder->isRaisingToken, true))
+            return;
+        after(msBetween(1, 80), onHolder([this] {
+            m_holder->isRaisingToken = false;
+            for (const auto& id : applyNewToken(m_holder->state, ++m_lastToken, now()))
+                m_holder->nextHeartbeatAt[id] = now();
+        }));
+    }
+
+    bool isHeartbeatWanted(const std::string& id, const VmState& vm) const
+    {
+        const auto heartbeats = m_holder->heartbeats.find(id);
+        const auto lastAckSent
+            = heartbeats == m_holder->heartbeats.end() ? 0 : heartbeats->second.lastAckSent;
+        const auto inFlight = m_holder->isHeartbeatInFlight.find(id);
+        return (inFlight == m_holder->isHeartbeatInFlight.end() || !inFlight->second)
+            && (vm.applied > lastAckSent || isReportDue(vm, m_holder->state.limits, now()));
+    }
+
+    /// As PoolHolder::needsHeartbeat(), nextHeartbeat() and scheduleNextVisit().
+    void visitHeartbeat(const std::string& id, VmState& vm)
+    {
+        auto& heartbeats = m_holder->heartbeats[id];
+        auto& state = m_holder->state;
+        const auto earliest = m_holder->nextHeartbeatAt[id];
+        const bool isAckPending = vm.applied > vm.acknowledged;
+        if (isHeartbeatWanted(id, vm) && now() >= earliest) {
+            if (isAckPending && heartbeats.ackPendingSince == TimePoint {})
+                heartbeats.ackPendingSince = now();
+            if (!isAckPending || now() - heartbeats.ackPendingSince >= 300ms) {
+                heartbeats.ackPendingSince = TimePoint {};
+                heartbeats.lastAckSent
+                    = std::max(heartbeats.lastAckSent, planHeartbeat(vm, state.limits, now()).acknowledged);
+                sendHeartbeat(id, vm);
+            }
+        }
+        auto next = nextVisit(state, vm, now());
+        if (isHeartbeatWanted(id, vm))
+            next = std::min(
+                next, std::max(earliest, isAckPending ? heartbeats.ackPendingSince + 300ms : TimePoint {}));
+        scheduleVisit(state, vm, next);
+    }
+
+    /// Notes for how long VMs are left on which a pass over all VMs would act.
+    void checkVisits()
+    {
+        auto all = m_holder->state;
+        expireLeases(all, now());
+        const auto stops = planStops(all, now());
+        std::set<std::pair<std::string, std::string>> due;
+        for (const auto& stop : stops)
+            due.emplace(stop.vm, "stop");
+        for (const auto& [id, vm] : m_holder->state.vms) {
+            const auto after = all.vms.find(id);
+            if (after == all.vms.end())
+                due.emplace(id, "removal");
+            else if (after->second.runs.size() < vm.runs.size())
+                due.emplace(id, "release");
+            if (vm.fencing == Fencing::TokenRequired && !m_holder->isRaisingToken)
+                due.emplace(id, "token");
+            const auto earliest = m_holder->nextHeartbeatAt.find(id);
+            const bool isEarly = earliest != m_holder->nextHeartbeatAt.end() && now() < earliest->second;
+            if (isHeartbeatWanted(id, vm) && !isEarly && vm.applied <= vm.acknowledged)
+                due.emplace(id, "heartbeat");
+        }
+        auto visited = m_holder->state;
+        const auto names
+            = now() < m_holder->nextPassAt ? std::vector<std::string> {} : takeVmVisits(visited, now());
+        for (const auto& name : names)
+            std::erase_if(due, [&](const auto& entry) { return entry.first == name; });
+        std::erase_if(m_dueSince, [&](const auto& entry) { return !due.contains(entry.first); });
+        for (const auto& entry : due) {
+            const auto since = m_dueSince.try_emplace(entry, now()).first->second;
+            const auto omitted = std::chrono::duration_cast<milliseconds>(now() - since);
+            m_longestOmission = std::max(m_longestOmission, omitted);
+            // The interval of visits, one step of the model and one pass.
+            if (omitted > 60ms + m_options.slowPass)
+                m_violation += entry.second + " of " + entry.first + " left for "
+                    + std::to_string(omitted.count()) + " ms; ";
+        }
+    }
+
+    /// Writes the jobs that passes have noted as changed.
+    void commitChanged()
+    {
+        auto& state = m_holder->state;
+        for (const auto& id : takeJobVisits(state)) {
+            const auto job = state.jobs.find(id);
+            if (job != state.jobs.end() && job->second.dirty)
+                m_holder->dirtyJobs.insert(id);
+        }
+        if (m_holder->isCommitting)
+            return;
+        commit(std::exchange(m_holder->dirtyJobs, {}));
+    }
+
     void reconcile()
     {
         auto& state = m_holder->state;
@@ -607,18 +804,22 @@
                 sendHeartbeat(id, vm);
         }
         state.runEvents.clear();
-        commit();
+        std::set<std::string> jobs;
+        for (const auto& [id, job] : state.jobs)
+            jobs.insert(id);
+        commit(jobs);
     }
 
-    /// Writes the changed jobs. Ends may be acknowledged once the write is durable.
-    void commit()
+    /// Writes those of the jobs \p ids that have changed. Ends may be acknowledged once the write is durable.
+    void commit(const std::set<std::string>& ids)
     {
         auto& state = m_holder->state;
         if (m_holder->isCommitting)
             return;
         std::map<std::string, std::string> records;
         ++m_holder->batchCount;
-        for (auto& [id, job] : state.jobs) {
+        for (const auto& id : ids) {
+            auto& job = state.jobs.at(id);
             if (!job.dirty)
                 continue;
             records[id] = encodeProgress(job);
@@ -644,8 +845,11 @@
             }
             for (const auto& [id, end] : ends) {
                 const auto vm = m_holder->state.vms.find(id);
-                if (vm != m_holder->state.vms.end() && vm->second.bootTime == end.first)
+                if (vm == m_holder->state.vms.end())
+                    continue;
+                if (vm->second.bootTime == end.first)
                     vm->second.acknowledged = std::max(vm->second.acknowledged, end.second);
+                markChanged(m_holder->state, vm->second);
             }
         }));
     }
@@ -707,6 +911,9 @@
     std::uint64_t m_starts = 0;
     std::uint64_t m_doneEnds = 0;
     std::string m_violation;
+    /// Since when VMs are left on which a pass over all VMs would act, by VM and action.
+    std::map<std::pair<std::string, std::string>, TimePoint> m_dueSince;
+    milliseconds m_longestOmission { 0 };
 };
 
 /// Seeds of a run; TAKEOVER_SEED and TAKEOVER_SEEDS choose others by hand.
@@ -740,6 +947,35 @@
     BOOST_TEST(doneEnds > 5 * seeds);
 }
 
+void checkSlowPasses(milliseconds slowPass, bool visitsChangedVms)
+{
+    std::uint64_t starts = 0;
+    int takeovers = 0;
+    milliseconds longestOmission { 0 };
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+        TakeoverModel model(seed, { .visitsChangedVms = visitsChangedVms, .slowPass = slowPass });
+        model.run(45s);
+        BOOST_TEST(model.violation() == "", "seed " << seed << ": " << model.violation());
+        starts += model.starts();
+        takeovers += model.takeovers();
+        longestOmission = std::max(longestOmission, model.longestOmission());
+    }
+    BOOST_TEST_MESSAGE("passes of up to " << slowPass.count() << " ms: " << starts << " starts, " << takeovers
+                                          << " takeovers, longest omission " << longestOmission.count()
+                                          << " ms");
+    BOOST_TEST(starts > 5 * seeds);
+}
+
+// Two runs of a task, or a release, a stop, a token or a heartbeat that a pass over all VMs makes in time, by
+// passes that visit the changed and the due VMs only.
+BOOST_AUTO_TEST_CASE(taskRunsAtMostOnceWithPassesOverChangedVms) { checkSlowPasses(0ms, true); }
+
+// Two runs of a task by a holder whose passes take longer than the world around it takes to change.
+BOOST_AUTO_TEST_CASE(taskRunsAtMostOnceBesidePassesOf50Ms) { checkSlowPasses(50ms, true); }
+BOOST_AUTO_TEST_CASE(taskRunsAtMostOnceBesidePassesOf500Ms) { checkSlowPasses(500ms, true); }
+BOOST_AUTO_TEST_CASE(taskRunsAtMostOnceBesidePassesOf2S) { checkSlowPasses(2s, true); }
+BOOST_AUTO_TEST_CASE(taskRunsAtMostOnceBesidePassesOf500MsOverAllVms) { checkSlowPasses(500ms, false); }
+
 // The model finds tasks that a new holder starts beside runs that it doesn't know.
 BOOST_AUTO_TEST_CASE(modelFindsStartsWithoutAWaitAfterATakeover)
 {
