--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -99,8 +99,6 @@
     /// Notes which of the jobs that have changed are to be recorded or removed.
     void visitJobs();
     void sendStops(const std::vector<std::string>& vms, TimePoint now);
-    /// Lets the pass visit the VMs to which the last one could not send all stops.
-    void markLimitedStops();
     void sendStarts(TimePoint now, PlanScope scope);
     void sendHeartbeats(const std::vector<std::string>& vms, TimePoint now);
     /// Raises the fencing token if one of the VMs requires it.
@@ -158,7 +156,6 @@
     TimePoint m_startsUnlimitedAt {}; ///< when the window last left no task waiting
     int m_startsInFlight = 0;
     int m_stopsInFlight = 0;
-    std::vector<std::string> m_vmsWithLimitedStops; ///< visited when the window left no further stops
     std::uint64_t m_batchCount = 0; ///< transactions of progress so far
     std::set<std::string> m_jobsInTransaction; ///< jobs that the transaction in flight writes
     std::set<std::string> m_dirtyJobs; ///< jobs with JobEntry::dirty
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -336,7 +336,6 @@
     m_longestPassDelay = std::max(m_longestPassDelay, now - m_reconcileAt);
     requestMachineList(now);
     logRecovery(now);
-    markLimitedStops();
     const auto vms = takeVmVisits(m_state, now);
     expireLeases(m_state, vms, now);
     m_evacuationVisits.insert(m_evacuationVisits.end(), vms.begin(), vms.end());
@@ -364,14 +363,6 @@
     scheduleNextPass(now);
 }
 
-void PoolHolder::markLimitedStops()
-{
-    for (const auto& id : std::exchange(m_vmsWithLimitedStops, {})) {
-        if (const auto vm = m_state.vms.find(id); vm != m_state.vms.end())
-            markChanged(m_state, vm->second);
-    }
-}
-
 void PoolHolder::scheduleNextPass(TimePoint now)
 {
     const bool isIdle = m_state.jobs.empty() && m_evacuations.empty();
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -42,8 +42,6 @@
         return;
     const auto maxStops = freeCommands(m_commandWindow, m_stopsInFlight);
     const auto stops = planStops(m_state, vms, now, maxStops);
-    if (static_cast<int>(stops.size()) >= maxStops)
-        m_vmsWithLimitedStops = vms;
     for (const auto& stop : stops) {
         const auto target = makeTarget(m_state.vms.find(stop.vm)->second);
         logEvent(LogLevel::Info, "task_stop",
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -283,9 +283,10 @@
         const auto* task = findTask(state, id);
         return task && task->run && task->run->phase == RunPhase::Unknown;
     });
-    const bool mayStartLate
+    const bool isUnsettled
         = hasUnknownStart || now < std::max(vm.unsettledStartsUntil, state.earlierStartsUntil);
-    if (!mayStartLate || vm.fencing != Fencing::NotRequired)
+    // Each pass calls this for a silent VM whose lease has expired.
+    if (!isUnsettled || vm.fencing != Fencing::NotRequired)
         return;
     requireNewToken(vm);
     markChanged(state, vm);
