Write log lines without Easylogging++ while a LogOutput exists

Cause: each line went through Easylogging++, whose default callback formats the whole line again although its output is off; then the callback of LogOutput formatted the time with strftime and joined copies of the parts. A start costs two lines or more.

Change: logEvent() checks the level itself and LogOutput appends the line to a string whose memory it keeps; the part of the time up to the second is formatted once a second. Without a LogOutput nothing changes.

The new test of the form of a line passes on the code before and after; util_test passes.

--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -1,5 +1,6 @@
 #include <damaskworks/log.h>
 #include <damaskworks/log_output.h>
+#include <damaskworks/names.h>
 
 #include <cerrno>
 #include <chrono>
@@ -23,34 +24,78 @@
     return name;
 }
 
-std::string quotedIfNeeded(std::string_view value)
+LogLevel& leastLevel()
 {
-    if (value.find_first_of(" \"=\n") == std::string_view::npos && !value.empty())
-        return std::string(value);
-    std::string out = "\"";
+    static LogLevel level = LogLevel::Debug;
+    return level;
+}
+
+/// Appends \p value, in quotes if it needs them.
+void appendValue(std::string& out, std::string_view value)
+{
+    if (value.find_first_of(" \"=\n") == std::string_view::npos && !value.empty()) {
+        out += value;
+        return;
+    }
+    out += '"';
     for (char c : value) {
         if (c == '"' || c == '\\')
             out += '\\';
         out += c == '\n' ? ' ' : c;
     }
-    return out + "\"";
+    out += '"';
 }
 
-/// Current calendar time in UTC, with milliseconds.
-std::string timestamp()
+void appendEvent(std::string& out, std::string_view event, std::initializer_list<LogField> fields)
 {
-    const auto now = std::chrono::system_clock::now();
-    const auto seconds = std::chrono::system_clock::to_time_t(now);
-    const auto millis
-        = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::tm utc {};
-    gmtime_r(&seconds, &utc);
-    char text[40];
-    const auto length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &utc);
-    std::snprintf(text + length, sizeof text - length, ".%03d", static_cast<int>(millis));
-    return text;
+    out += "event=";
+    appendValue(out, event);
+    if (!nodeName().empty()) {
+        out += " node=";
+        appendValue(out, nodeName());
+    }
+    for (const auto& field : fields) {
+        out += ' ';
+        out += field.key;
+        out += '=';
+        appendValue(out, field.value);
+    }
 }
 
+/// Formats calendar times in UTC with milliseconds.
+class Timestamps {
+public:
+    void append(std::string& out, std::chrono::system_clock::time_point time)
+    {
+        const auto seconds = std::chrono::floor<std::chrono::seconds>(time);
+        if (seconds != m_second) {
+            m_second = seconds;
+            const auto value = std::chrono::system_clock::to_time_t(seconds);
+            std::tm utc {};
+            gmtime_r(&value, &utc);
+            m_text.resize(maxLength);
+            m_text.resize(std::strftime(m_text.data(), m_text.size(), "%Y-%m-%dT%H:%M:%S.", &utc));
+        }
+        const auto millis = std::chrono::floor<std::chrono::milliseconds>(time - seconds).count();
+        out += m_text;
+        out += static_cast<char>('0' + millis / 100);
+        out += static_cast<char>('0' + millis / 10 % 10);
+        out += static_cast<char>('0' + millis % 10);
+    }
+
+private:
+    static constexpr std::size_t maxLength = 40;
+    std::chrono::sys_seconds m_second = std::chrono::sys_seconds::min();
+    std::string m_text; ///< up to the point before the milliseconds
+};
+
+constexpr NameTable<LogLevel, 4> levelNames { {
+    { LogLevel::Debug, "DEBUG" },
+    { LogLevel::Info, "INFO" },
+    { LogLevel::Warning, "WARNING" },
+    { LogLevel::Error, "ERROR" },
+} };
+
 void setEnabled(el::Configurations& configurations, el::Level level, bool enabled)
 {
     configurations.set(level, el::ConfigurationType::Enabled, enabled ? "true" : "false");
@@ -61,6 +106,7 @@
 void initializeLogging(LogLevel level, std::string_view node)
 {
     nodeName() = std::string(node);
+    leastLevel() = level;
     el::Configurations configurations;
     configurations.setToDefault();
     configurations.setGlobally(el::ConfigurationType::ToFile, "false");
@@ -73,39 +119,25 @@
     el::Loggers::reconfigureLogger("default", configurations);
 }
 
-void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
-{
-    std::string line = "event=" + quotedIfNeeded(event);
-    if (!nodeName().empty())
-        line += " node=" + quotedIfNeeded(nodeName());
-    for (const auto& field : fields)
-        line += " " + std::string(field.key) + "=" + quotedIfNeeded(field.value);
-    switch (level) {
-    case LogLevel::Debug:
-        LOG(DEBUG) << line;
-        break;
-    case LogLevel::Info:
-        LOG(INFO) << line;
-        break;
-    case LogLevel::Warning:
-        LOG(WARNING) << line;
-        break;
-    case LogLevel::Error:
-        LOG(ERROR) << line;
-        break;
-    }
-}
-
 struct LogOutput::Impl {
     int descriptor;
     std::size_t limit;
     std::string buffer;
+    std::string line; ///< keeps its memory from one line to the next
+    Timestamps timestamps;
     std::uint64_t dropped = 0;
     std::uint64_t reportedDrops = 0;
     event* flushTimer = nullptr;
 
-    void add(std::string_view line)
+    void add(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
     {
+        line.clear();
+        timestamps.append(line, std::chrono::system_clock::now());
+        line += " level=";
+        line += nameOf(levelNames, level);
+        line += ' ';
+        appendEvent(line, event, fields);
+        line += '\n';
         if (buffer.size() + line.size() > limit) {
             ++dropped;
             return;
@@ -159,22 +191,30 @@
 
 LogOutput::Impl* LogOutput::Impl::instance = nullptr;
 
-namespace {
-
-class LogOutputDispatch final : public el::LogDispatchCallback {
-    void handle(const el::LogDispatchData* data) override
-    {
-        if (!LogOutput::Impl::instance)
-            return;
-        const auto level = el::LevelHelper::convertToString(data->logMessage()->level());
-        LogOutput::Impl::instance->add(
-            timestamp() + " level=" + level + " " + data->logMessage()->message() + "\n");
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (level < leastLevel())
+        return;
+    // Easylogging++ formats a line for its own output even if that is off.
+    if (LogOutput::Impl::instance)
+        return LogOutput::Impl::instance->add(level, event, fields);
+    std::string line;
+    appendEvent(line, event, fields);
+    switch (level) {
+    case LogLevel::Debug:
+        LOG(DEBUG) << line;
+        break;
+    case LogLevel::Info:
+        LOG(INFO) << line;
+        break;
+    case LogLevel::Warning:
+        LOG(WARNING) << line;
+        break;
+    case LogLevel::Error:
+        LOG(ERROR) << line;
+        break;
     }
-};
-
-constexpr const char* dispatchName = "damaskworks-bounded";
-
-} // namespace
+}
 
 LogOutput::LogOutput(event_base* base, int descriptor, std::size_t limit)
     : m_impl(new Impl { descriptor, limit })
@@ -185,13 +225,11 @@
     configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     el::Loggers::reconfigureLogger("default", configurations);
     Impl::instance = m_impl.get();
-    el::Helpers::installLogDispatchCallback<LogOutputDispatch>(dispatchName);
 }
 
 LogOutput::~LogOutput()
 {
     flush();
-    el::Helpers::uninstallLogDispatchCallback<LogOutputDispatch>(dispatchName);
     Impl::instance = nullptr;
     event_free(m_impl->flushTimer);
 }
--- a/src/libutil/log_output_test.cpp
+++ b/src/libutil/log_output_test.cpp
@@ -10,6 +10,7 @@
 #include <climits>
 #include <event2/event.h>
 #include <fcntl.h>
+#include <sstream>
 #include <string>
 #include <unistd.h>
 #include <vector>
@@ -85,4 +86,38 @@
     BOOST_TEST(all.find("log_lines_dropped total=" + std::to_string(dropped)) != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(lineHasTimeLevelNodeAndQuotedFields)
+{
+    const PacketPipe pipe;
+    initializeLogging(LogLevel::Info, "node 1");
+    LogOutput output(base, pipe.descriptors[1]);
+    logEvent(LogLevel::Debug, "hidden");
+    logEvent(LogLevel::Info, "task_start",
+        { { "task", "a.0.1.2" }, { "spec", "x=\"1\"\n\\" }, { "note", "" }, { "path", "C:\\" } });
+    logEvent(LogLevel::Warning, "late");
+    logEvent(LogLevel::Error, "lost");
+    output.flush();
+    initializeLogging(LogLevel::Debug, "");
+    std::string all;
+    for (const auto& packet : pipe.packets())
+        all += packet;
+    std::istringstream lines(all);
+    const std::vector<std::string> expected {
+        R"(level=INFO event=task_start node="node 1" task=a.0.1.2 spec="x=\"1\" \\" note="" path=C:\)",
+        R"(level=WARNING event=late node="node 1")", R"(level=ERROR event=lost node="node 1")"
+    };
+    std::string line;
+    for (const auto& text : expected) {
+        BOOST_TEST_REQUIRE(bool(std::getline(lines, line)));
+        const std::string shape = "dddd-dd-ddTdd:dd:dd.ddd ";
+        BOOST_TEST_REQUIRE(line.size() > shape.size());
+        std::string time = line.substr(0, shape.size());
+        std::replace_if(
+            time.begin(), time.end(), [](char c) { return c >= '0' && c <= '9'; }, 'd');
+        BOOST_TEST(time == shape);
+        BOOST_TEST(line.substr(shape.size()) == text);
+    }
+    BOOST_TEST(!std::getline(lines, line));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
