Visit a VM in time for the stall of a run that was accepted after the last visit

Ruled out: a fault in plays, since heartbeats mark the VM at least once a second (by reading). Change: a run without a confirmation counts with the earliest time at which it can stall.

--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -415,6 +415,13 @@
     return run.progressAt + allowed;
 }
 
+/// The same, or the earliest time at which it can be once the VM has confirmed the run.
+TimePoint mayStallAt(const PoolLimits& limits, const StepSpec& step, const RunState& run, TimePoint now)
+{
+    const bool isUnconfirmed = run.phase == RunPhase::Starting && !step.longRunning;
+    return isUnconfirmed ? now + limits.minStallTime : stallsAt(limits, step, run);
+}
+
 /// Plans the stops that are due on the VM until \p stops has \p limit of them.
 void planStopsOn(PoolState& state, const std::string& name, VmState& vm, TimePoint now, std::size_t limit,
     std::vector<StopAction>& stops)
@@ -446,7 +453,7 @@
         }
         const bool isStopping = run.phase == RunPhase::Stopping || run.phase == RunPhase::Unknown;
         if (!isStopping) {
-            vm.nextStopAt = std::min(vm.nextStopAt, stallsAt(state.limits, step, run));
+            vm.nextStopAt = std::min(vm.nextStopAt, mayStallAt(state.limits, step, run, now));
             continue;
         }
         if (run.stopConfirmedAt != TimePoint {})
