--- a/review/standin/hopeless_jobs_case.cpp
+++ b/review/standin/hopeless_jobs_case.cpp
@@ -18,7 +18,7 @@
 /// Two of forty jobs can never be done: the share of the site's `poison` is 0.055.
 constexpr int hopelessJobs = 2;
 /// Jobs whose units run for 12 to 36 s until they fail, as units that last may at any time.
-constexpr int jobsThatFailAtTimes = 4;
+constexpr int jobsThatFailAtTimes = 8;
 constexpr TaskBehaviour steady { .isLongRunning = true, .cpu = 2600 };
 constexpr TaskBehaviour failsAtTimes { .milliseconds = 24'000, .failureProbability = 1, .cpu = 2600 };
 constexpr TaskBehaviour hopeless { .milliseconds = 100, .failureProbability = 1, .cpu = 2600 };
@@ -26,7 +26,7 @@
 /// s and the 4 s before them are calm.
 constexpr milliseconds longestAbsence { 9000 };
 constexpr milliseconds calmAfterTrouble { 10'000 };
-constexpr milliseconds observation { 90'000 };
+constexpr milliseconds observation { 100'000 };
 constexpr milliseconds checkInterval { 100 };
 
 std::string body(TaskBehaviour behaviour)
