--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # build of deploy/system.toml first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake -S review/standin -B target/review -DCMAKE_BUILD_TYPE=Release
+cmake -S review -B target/review -DCMAKE_BUILD_TYPE=Release
 cmake --build target/review -j8 --target review_case
--- a/review/standin/deployment.h
+++ b/review/deployment.h
@@ -3,8 +3,8 @@
 /// the record of what was sent, answered and run.
 #pragma once
 
-#include "../../platform/standin/platform.h"
-#include "../../testsuite/harness/process.h"
+#include "../platform/standin/platform.h"
+#include "../testsuite/harness/process.h"
 #include "faulty_table.h"
 #include "silent_relay.h"
 
--- a/review/standin/faulty_table.h
+++ b/review/faulty_table.h
@@ -3,7 +3,7 @@
 /// the stand-in does not keep, and can lose the answers of chosen writes.
 #pragma once
 
-#include "../../platform/standin/delayed_calls.h"
+#include "../platform/standin/delayed_calls.h"
 
 #include <damaskworks/http.h>
 #include <damaskworks/loop.h>
