Acquire a lease that names this node although nobody here holds it

Cause: updateFreeLeases() took a lease row with the own session for a lease that is held. The store may perform an acquisition after it was given up, so the row shows only that the write was performed. Ruled out: repeated conflicts (they were logged, there are none), a holder that waits (lease_take never says taken). Change: the election asks whether this node holds the lease. One that names it and is not held is acquired at once, from the row's version: nothing earlier can be performed after. A lost answer and a failed read are enough for the fault, without any late write.

--- a/src/include/damaskworks/pool_election.h
+++ b/src/include/damaskworks/pool_election.h
@@ -24,6 +24,9 @@
         std::function<bool()> mayAcquire;
         /// Returns the number of leases that this node holds.
         std::function<std::size_t()> heldPools;
+        /// Returns whether this node holds the lease of \c pool. A lease row with this node's session does
+        /// not show that: it may come from an acquisition that was given up and has been performed since.
+        std::function<bool(const std::string& pool)> isHeld;
         /// Called when this node has acquired the lease of \c pool.
         std::function<void(const std::string& pool, AcquiredLease lease)> acquired;
     };
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -83,6 +83,9 @@
           NodeCapacity { m_settings.cpuShare, m_settings.linkMbps }, seed + 5, m_leaseTiming,
           { [this] { return canServe() && hasRecentContact(maxContactAgeToAcquire); },
               [this] { return m_holders.size() + (m_coordinator ? 1 : 0); },
+              [this](const std::string& pool) {
+                  return pool == coordinatorPool ? m_coordinator != nullptr : m_holders.contains(pool);
+              },
               [this](const std::string& pool, const AcquiredLease& lease) { onLeaseAcquired(pool, lease); } })
     , m_callerServer(loop.base(), {},
           [this](std::shared_ptr<HttpExchange> exchange) { m_callers.handle(std::move(exchange)); })
--- a/src/libfleet/pool_election.cpp
+++ b/src/libfleet/pool_election.cpp
@@ -81,9 +81,9 @@
 void PoolElection::updateFreeLeases(TimePoint now)
 {
     for (const auto& pool : m_pools) {
-        const auto& lease = m_leases[pool];
-        const bool isOwn = lease.row.session == m_session && !lease.row.node.empty();
-        if (isOwn || m_acquiring.contains(pool) || !isAcquirable(lease, m_node, m_timing, now))
+        const bool isTaken = m_callbacks.isHeld(pool) || m_acquiring.contains(pool)
+            || !isAcquirable(m_leases[pool], m_node, m_timing, now);
+        if (isTaken)
             m_freeLeases.erase(pool);
         else if (!m_freeLeases.contains(pool))
             m_freeLeases[pool] = { now, std::uniform_real_distribution<>(0, 1)(m_random) };
@@ -116,6 +116,10 @@
     m_freeLeases.erase(pool);
     m_acquiring.insert(pool);
     const auto& current = m_leases[pool];
+    if (current.row.session == m_session && !current.row.node.empty())
+        logEvent(LogLevel::Warning, "lease_without_holder",
+            { { "pool", pool }, { "term", std::to_string(current.row.term) },
+                { "version", std::to_string(current.version) } });
     const LeaseRow row { m_node, m_session, current.version == 0 ? 0 : current.row.term + 1,
         ++m_acquireAttempts };
     const std::string table(controlTable);
@@ -152,10 +156,14 @@
             if (!*alive)
                 return;
             m_acquiring.erase(pool);
-            if (!rows || rows->rows.empty())
-                return; // the next check tries again
-            const auto lease = decodeLease(rows->rows.front().value);
-            if (!lease || !(*lease == row))
+            const auto lease
+                = rows && !rows->rows.empty() ? decodeLease(rows->rows.front().value) : std::nullopt;
+            const bool isTaken = lease && *lease == row;
+            logEvent(LogLevel::Info, "lease_take",
+                { { "pool", pool }, { "term", std::to_string(row.term) },
+                    { "outcome", isTaken ? "taken" : "unknown" } });
+            // The transaction may still be performed. The next check tries again, from the row as it is then.
+            if (!isTaken)
                 return;
             const auto version = rows->rows.front().version;
             m_leases[pool] = { row, version, m_clock.now() };
--- a/src/libfleet/pool_election_test.cpp
+++ b/src/libfleet/pool_election_test.cpp
@@ -14,7 +14,7 @@
 
 struct Node {
     NodeCapacity capacity;
-    std::size_t heldPools = 0;
+    std::set<std::string> heldPools;
     std::unique_ptr<PoolElection> election;
 };
 
@@ -31,10 +31,12 @@
             const auto name = "n" + std::to_string(i);
             node.election = std::make_unique<PoolElection>(loop.base(), table, clock, name, name + "-1",
                 node.capacity, i + 1, LeaseTiming {},
-                PoolElection::Callbacks { [] { return true; }, [&node] { return node.heldPools; },
-                    [this, &node](const std::string&, const AcquiredLease&) {
-                        ++node.heldPools;
+                PoolElection::Callbacks { [] { return true; }, [&node] { return node.heldPools.size(); },
+                    [&node](const std::string& pool) { return node.heldPools.contains(pool); },
+                    [this, &node](const std::string& pool, const AcquiredLease& lease) {
+                        node.heldPools.insert(pool);
                         ++acquiredCount;
+                        acquiredVersion = lease.version;
                     } });
         }
         followTimer.startPeriodic(20ms);
@@ -60,6 +62,7 @@
     FakeTable table;
     std::vector<Node> nodes;
     std::size_t acquiredCount = 0;
+    Version acquiredVersion = 0; ///< of the last lease
     Timer followTimer;
 };
 
@@ -72,7 +75,7 @@
     BOOST_REQUIRE(fleet.acquireAll({ "a", "b", "c", "d", "e", "f" }));
     // Not exactly one: on a slow test host one node's second attempt may come before another's first.
     for (const auto& node : fleet.nodes)
-        BOOST_TEST(node.heldPools <= 2u);
+        BOOST_TEST(node.heldPools.size() <= 2u);
 }
 
 // No node knew the version of such a row, so that none could replace it, and the pool had no holder from then
@@ -91,6 +94,7 @@
             std::optional<AcquiredLease> acquired;
             PoolElection election(loop.base(), table, clock, "n1", "n1-1", {}, 1, LeaseTiming {},
                 { [] { return true; }, [] { return std::size_t(0); },
+                    [](const std::string&) { return false; },
                     [&](const std::string&, const AcquiredLease& lease) { acquired = lease; } });
             const auto write = [&](const std::string& value) {
                 table.commit({ part, {}, { { std::string(controlTable), std::string(leaseKey), value } } },
@@ -117,6 +121,41 @@
     }
 }
 
+// A node that was left alone never ran a pool whose lease row a late write of its own had given it
+// (review/1).
+BOOST_AUTO_TEST_CASE(acquisitionThatIsPerformedAfterItWasGivenUpLeavesNoPoolWithoutAHolder)
+{
+    const std::string part = rows::poolPart("a");
+    for (const bool hasEarlierHolder : { false, true }) {
+        Nodes fleet(std::vector<NodeCapacity>(1));
+        if (hasEarlierHolder) {
+            const LeaseRow row { "n0", "n0-0", 3, 7 };
+            fleet.table.commit(
+                { part, {}, { { std::string(controlTable), std::string(leaseKey), encodeLease(row) } } }, 1s,
+                [](TableResult<Version>) {});
+            fleet.follow();
+        }
+        fleet.table.faults = { CommitFault::Delayed };
+        for (auto& node : fleet.nodes)
+            node.election->setPools({ "a" });
+        BOOST_REQUIRE(fleet.loop.runUntil([&] { return fleet.table.faults.empty(); }, 5s));
+        fleet.loop.runUntil([] { return false; }, 5ms); // the election reads the row and gives up
+        BOOST_REQUIRE(fleet.table.applyDelayed() == 1);
+        BOOST_REQUIRE(fleet.loop.runUntil([&] { return fleet.acquiredCount > 0; }, 5s));
+        const auto* row = fleet.table.find(std::string(controlTable), part, std::string(leaseKey));
+        BOOST_TEST(fleet.acquiredVersion == row->version);
+    }
+}
+
+// The same after a lost response, if the row can't be read then.
+BOOST_AUTO_TEST_CASE(acquisitionWhoseOutcomeCannotBeReadLeavesNoPoolWithoutAHolder)
+{
+    Nodes fleet(std::vector<NodeCapacity>(1));
+    fleet.table.faults = { CommitFault::ResponseLost };
+    fleet.table.readsToFail = 1;
+    BOOST_TEST(fleet.acquireAll({ "a" }));
+}
+
 BOOST_AUTO_TEST_CASE(poolAcquiredByAnotherNodeDelaysNoOtherPool)
 {
     // Six large nodes competed for one pool after the other, 0.4 s each, until a node with a 10 Mbit/s link
@@ -137,6 +176,6 @@
     for (auto& node : fleet.nodes)
         node.election->setPools(pools);
     BOOST_REQUIRE(fleet.loop.runUntil([&] { return fleet.acquiredCount > 0; }, 10s));
-    BOOST_TEST(fleet.nodes[0].heldPools == 1u);
-    BOOST_TEST(fleet.nodes[1].heldPools == 0u);
+    BOOST_TEST(fleet.nodes[0].heldPools.size() == 1u);
+    BOOST_TEST(fleet.nodes[1].heldPools.size() == 0u);
 }
