--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -31,6 +31,7 @@
     /// Age from which a configuration may have been replaced for too long to decide about requests.
     milliseconds maxConfigAge;
     const TableContact& tableContact;
+    std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
 };
 
 /// Serves callers on any node. A job is accepted once its row is committed, whichever node will run it.
@@ -51,6 +52,8 @@
     using CallPointer = std::shared_ptr<Call>;
     void submit(const CallPointer& call);
     void commitJob(const CallPointer& call);
+    /// The rows of the call's job.
+    static TableTransaction jobTransaction(const Call& call);
     void onSubmitted(const CallPointer& call, TableResult<Version> result);
     void readState(const CallPointer& call);
     void readRecord(const CallPointer& call, std::function<void(std::optional<JobRecord>)> onRead);
--- a/src/include/damaskworks/deployment.h
+++ b/src/include/damaskworks/deployment.h
@@ -4,6 +4,7 @@
 
 #include <damaskworks/http.h>
 #include <damaskworks/job.h>
+#include <damaskworks/shared_table.h>
 
 #include <cstdint>
 #include <map>
@@ -31,7 +32,7 @@
     milliseconds endedJobRetention { 0 }; ///< how long callers can read the state of an ended job
     double cpuShare = 1; ///< cores that the process may use
     double linkMbps = 1000; ///< bandwidth of the node's network link
-    int maxRowBytes = 0; ///< largest value of a table row
+    std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
 };
 
 /// How the advice service responds to requests about the steps of a queue.
--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -53,6 +53,7 @@
     MachineControl& machines;
     const Codec& codec;
     const FleetRows& rows;
+    std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
 };
 
 /// Plans machine tasks (maintenance and moves), sends the commands to the platform and reports finished
@@ -99,8 +100,19 @@
     void writeWaveStatus(std::int64_t wave, bool completed);
     bool hasWork() const;
     LedgerBatch collect();
+    void collectWaves(LedgerBatch& batch);
+    void collectTasks(LedgerBatch& batch);
+    /// Returns which of the changed rows the transaction may have: one alone if the table has rejected it
+    /// before, else all that are not set aside.
+    std::function<bool(const std::string& key)> selectRows(
+        const std::set<std::string>& keys, LedgerBatch& batch) const;
+    /// Adds a row, or its deletion, if there is room for it; returns whether there is.
+    bool collectRow(LedgerBatch& batch, const std::string& key, std::optional<std::string> text);
     void onCommitted(const LedgerBatch& batch);
     void onFailed(const LedgerBatch& batch);
+    /// Sets the rows apart that the table rejects.
+    void onRejected(const LedgerBatch& batch);
+    void rejectRows(const std::set<std::string>& keys, std::string_view reason);
 
     CoordinatorContext m_context;
     Version m_acquiredVersion;
@@ -110,6 +122,9 @@
     std::set<std::string> m_unregisteredVms; ///< VMs whose registration has ended
     FleetLimits m_limits;
     PoolLedger m_ledger;
+    LedgerLimits m_ledgerLimits;
+    RejectedRecords m_rejectedRows; ///< by key
+    std::map<std::int64_t, TimePoint> m_statusRejectedAt; ///< by wave
     Timer m_timer;
     std::map<std::string, std::string> m_committedTasks; ///< by machine, committed text of its task row
     std::map<std::int64_t, WallTime> m_waveStartTimes;
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -35,6 +35,7 @@
     const JobDirectory& directory;
     /// Returns whether jobs and VMs are known well enough to start tasks.
     std::function<bool()> areViewsFresh;
+    std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
 };
 
 /// Sends commands to the VMs of one pool and records what they report.
@@ -125,6 +126,16 @@
     /// Logs and counts the end of a job, and whether it met its objective.
     void recordJobEnd(const JobEntry& job);
     void onFailed(const LedgerBatch& batch);
+    /// Sets the records apart that the table rejects.
+    void onRejected(const LedgerBatch& batch);
+    /// Keeps back the records \p ids, which were rejected or can't be written.
+    void rejectRecords(const std::set<std::string>& ids, std::string_view reason);
+    /// Lets the rejected records whose pause is over be written again.
+    void resumeRejectedRecords(TimePoint now);
+    /// Adds the pool's load, if there is a new one.
+    void collectLoad(LedgerBatch& batch, TimePoint now);
+    /// Restores what \p batch was to record.
+    std::set<std::string> restoreRecords(const LedgerBatch& batch);
     /// Removes jobs whose end is durable and which have no runs left.
     void removeEndedJobs();
     void markDirtyIfNeeded();
@@ -158,7 +169,9 @@
     int m_stopsInFlight = 0;
     std::uint64_t m_batchCount = 0; ///< transactions of progress so far
     std::set<std::string> m_jobsInTransaction; ///< jobs that the transaction in flight writes
-    std::set<std::string> m_dirtyJobs; ///< jobs with JobEntry::dirty
+    LedgerLimits m_ledgerLimits;
+    std::set<std::string> m_dirtyJobs; ///< jobs with JobEntry::dirty whose records are not set aside
+    RejectedRecords m_rejectedRecords; ///< by job, and the load under loadKey
     std::set<std::string> m_endedJobs; ///< jobs in a final state that removeEndedJobs() has not removed
     UnacknowledgedEnds m_unacknowledgedEnds;
     std::set<std::string> m_removedJobs; ///< removed jobs whose end the directory does not show yet
--- a/src/include/damaskworks/pool_ledger.h
+++ b/src/include/damaskworks/pool_ledger.h
@@ -9,6 +9,7 @@
 #include <damaskworks/metrics.h>
 #include <damaskworks/pool_lease.h>
 #include <damaskworks/shared_table.h>
+#include <damaskworks/table_limits.h>
 
 #include <functional>
 #include <map>
@@ -28,12 +29,21 @@
 /// Rows to write in one transaction, and the ends of runs that are durable once it has committed.
 struct LedgerBatch {
     std::vector<TableWrite> writes;
-    std::set<std::string> jobs; ///< jobs whose progress is among the rows
+    std::size_t bytes = 0; ///< sum of encodedSize()
+    std::set<std::string> jobs; ///< jobs whose records are complete once the rows are written
     bool isComplete = true; ///< false: a transaction could not hold all changes, so the next follows at once
     /// By VM: ends of runs that the rows written up to and including this batch record.
     std::map<std::string, DurableEnds> ends;
 };
 
+/// Whether a transaction of a holder has room for so many more writes, of so many bytes in all, besides its
+/// expectation on the lease row.
+bool hasRoomFor(const LedgerBatch& batch, std::size_t entries, std::size_t bytes, const LedgerLimits& limits);
+/// Adds the write; \p part is that of the transaction.
+void addWrite(LedgerBatch& batch, TableWrite write, std::string_view part);
+/// Adds the write if there is room for it; returns whether there is.
+bool addWriteIfRoom(LedgerBatch& batch, TableWrite write, std::string_view part, const LedgerLimits& limits);
+
 /// A lease that this node has just acquired.
 struct AcquiredLease {
     LeaseRow row;
@@ -60,6 +70,9 @@
         std::function<void()> lost;
         /// The lease is released. The ledger makes no further calls.
         std::function<void()> released;
+        /// The table has rejected the transaction, which had no effect. Without this callback, failed is
+        /// called.
+        std::function<void(const LedgerBatch&)> rejected = {};
     };
 
     PoolLedger(event_base* base, SharedTable& table, const Clock& clock, Metrics& metrics, std::string pool,
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -7,9 +7,11 @@
 #include <damaskworks/changed_ids.h>
 #include <damaskworks/clock.h>
 #include <damaskworks/deployment.h>
+#include <damaskworks/ended_occurrences.h>
 #include <damaskworks/endpoint_control.h>
 #include <damaskworks/job.h>
 #include <damaskworks/load_sums.h>
+#include <damaskworks/record_rows.h>
 #include <damaskworks/vm_room.h>
 #include <damaskworks/waiting_steps.h>
 
@@ -70,6 +72,7 @@
     std::set<std::uint32_t> failedRuns;
     std::uint32_t lastRun = 0;
     std::string checkpoint;
+    bool hasSkippedCheckpoint = false; ///< one was too long to be kept, see PoolLimits::maxCheckpointBytes
     std::optional<RunState> run;
     int crashes = 0; ///< VMs that crashed while the task may have run on them
     int trialCrashes = 0; ///< of these, those that crashed during the trial of its run
@@ -126,7 +129,9 @@
     bool hasEarlierRuns = false; ///< some task may have a TaskState::earlierRun
     std::optional<JobState> recorded; ///< state last written to its row; empty: write it again
     int nextOccurrence = 0; ///< first occurrence that is not due yet
-    std::map<int, OccurrenceState> occurrences;
+    std::map<int, OccurrenceState> occurrences; ///< that have begun, without endedOccurrences
+    EndedOccurrences endedOccurrences; ///< of a scheduled job; their tasks have no state any more
+    RecordRows record;
     milliseconds criticalPath { 0 }; ///< see criticalPathLength()
     TimePoint firstStartAt {}; ///< first start command of this holder; zero: none yet
     PendingReaders pendingReaders = 0; ///< in PoolState::changedJobs
@@ -269,6 +274,8 @@
     /// How long a long-running task on a draining VM waits for room on another one before it is stopped. The
     /// VM may exit a few seconds after it began to drain.
     milliseconds drainingPlacementWait { 1500 };
+    /// Longest checkpoint that is kept. JSON may escape each byte of it with six in the row that records it.
+    std::size_t maxCheckpointBytes = 8192;
     /// Most reservations that one planning pass tries to make; each looks at all runs of the pool.
     int maxReservationAttempts = 8;
 };
@@ -292,9 +299,10 @@
     Crashed, ///< the VM crashed, perhaps by this run
     CrashedOnTrial, ///< the VM crashed during the trial of this run
     GivenUp, ///< the job has failed, since the task crashes the VMs that start it
+    CheckpointTooLong, ///< the task keeps its earlier checkpoint
 };
 
-inline constexpr NameTable<RunEventKind, 11> runEventKindNames { {
+inline constexpr NameTable<RunEventKind, 12> runEventKindNames { {
     { RunEventKind::NotListed, "not_listed" },
     { RunEventKind::VmRestarted, "vm_restarted" },
     { RunEventKind::LeaseExpired, "lease_expired" },
@@ -306,6 +314,7 @@
     { RunEventKind::Crashed, "vm_crashed" },
     { RunEventKind::CrashedOnTrial, "vm_crashed_on_trial" },
     { RunEventKind::GivenUp, "given_up" },
+    { RunEventKind::CheckpointTooLong, "checkpoint_too_long" },
 } };
 
 struct RunEvent {
@@ -380,9 +389,13 @@
 /// When the leases that an earlier holder may have granted before \p takeover have expired on the slowest
 /// clock. A VM that had restarted before the takeover can have the longest.
 TimePoint recoveryDeadlineAfter(const PoolLimits& limits, TimePoint takeover);
-/// Adds a job. \p progress is its durable record, empty if there is none. \p isRecovered: an earlier holder
-/// may have had the job. Returns false if a part of the record is malformed; the job has the rest of it.
-bool addJob(PoolState& state, JobSpec spec, std::string_view progress, bool isRecovered);
+/// Rows of a job's record after the first, by position.
+using FurtherRows = std::map<std::int64_t, std::string>;
+/// Adds a job. \p progress and \p furtherRows are its durable record, empty if there is none.
+/// \p isRecovered: an earlier holder may have had the job. Returns false if a part of the record is
+/// malformed; the job has the rest of it.
+bool addJob(PoolState& state, JobSpec spec, std::string_view progress, bool isRecovered,
+    const FurtherRows& furtherRows = {});
 /// Removes a job that has ended.
 void removeJob(PoolState& state, std::string_view id);
 
@@ -482,14 +495,20 @@
 /// The next heartbeat for the VM, which asks for its report. Renews the lease of its runs if the VM responds.
 HeartbeatCommand planHeartbeat(VmState& vm, const PoolLimits& limits, TimePoint now);
 
-/// Durable record of a job's state and of the progress of its tasks.
-std::string encodeProgress(const JobEntry& job);
+/// Durable record of a job's state and of the progress of the tasks in \p range: a row of the job's record.
+/// Only the row at position 0 has the state. Empty if there is nothing to record.
+std::string encodeProgress(const JobEntry& job, TaskRange range = {});
+/// Number of positions of the job's tasks, see TaskRange.
+std::int64_t countPositions(const JobSpec& job);
+/// Replaces the states of the scheduled job's occurrences that have ended by their numbers.
+void closeEndedOccurrences(PoolState& state, JobEntry& job);
 /// Durable record of a job's state.
 std::string encodeState(JobState state);
 /// State in a record of either kind; Queued if it is malformed.
 JobState decodeState(std::string_view record);
 
-/// The task, or nullptr if the job has no such task. Creates the state of its occurrence if it is missing.
+/// The task, or nullptr if the job has no such task or its occurrence has ended. Creates the state of its
+/// occurrence if it is missing.
 TaskState* findTask(PoolState& state, const TaskId& task);
 /// The specification of a step.
 const StepSpec& stepOf(const JobEntry& job, int step);
--- a/src/include/damaskworks/shared_table.h
+++ b/src/include/damaskworks/shared_table.h
@@ -81,6 +81,12 @@
 
 /// Largest number of preconditions and writes in one transaction.
 inline constexpr std::size_t maxTransactionEntries = 100;
+/// Largest call, in bytes of its text.
+inline constexpr std::size_t maxTransactionBytes = 1'000'000;
+/// Longest name of a table, part or key, in bytes.
+inline constexpr std::size_t maxNameBytes = 200;
+/// Largest value of a row, if the settings don't tell.
+inline constexpr std::size_t defaultMaxRowBytes = 65'536;
 
 /// Client of the table. It calls each callback exactly once, on the event loop, never from within the call.
 class SharedTable {
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -1,5 +1,6 @@
 #include <damaskworks/caller_service.h>
 #include <damaskworks/log.h>
+#include <damaskworks/table_limits.h>
 
 #include <algorithm>
 
@@ -166,21 +167,28 @@
     call->job.pool = call->queue.pool;
     call->job.maxAttempts = call->queue.maxAttempts;
     call->job.acceptedAt = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
+    if (const auto excess = findExcess(jobTransaction(*call), m_context.maxRowBytes); !excess.empty())
+        return reply(call, 413, errorBody("the job can't be stored: " + excess), "too_large");
     if (isUnreachable(m_context.tableContact, m_context.clock.now()))
         return reply(call, 503, errorBody("the table can't be reached"), "table_lost");
     commitJob(call);
 }
 
+TableTransaction CallerService::jobTransaction(const Call& call)
+{
+    const std::string table(jobTable);
+    const auto key = rows::jobKey(call.id);
+    TableTransaction transaction { call.part, { { table, key, 0 } },
+        { { table, key, encodeJob(call.job) } } };
+    if (call.job.specBytes > 0)
+        transaction.writes.push_back({ std::string(specTable), call.id, call.job.spec });
+    return transaction;
+}
+
 void CallerService::commitJob(const CallPointer& call)
 {
     ++call->attempts;
-    const std::string table(jobTable);
-    const auto key = rows::jobKey(call->id);
-    TableTransaction transaction { call->part, { { table, key, 0 } },
-        { { table, key, encodeJob(call->job) } } };
-    if (call->job.specBytes > 0)
-        transaction.writes.push_back({ std::string(specTable), call->id, call->job.spec });
-    m_context.table.commit(transaction, attemptTimeout(*call),
+    m_context.table.commit(jobTransaction(*call), attemptTimeout(*call),
         [this, call](TableResult<Version> result) { onSubmitted(call, result); });
 }
 
@@ -258,6 +266,8 @@
     m_context.table.commit(transaction, attemptTimeout(*call), [this, call](TableResult<Version> result) {
         if (result)
             return reply(call, 200, "{}", "cancelled");
+        if (result.error() == TableFailure::Invalid)
+            return reply(call, 503, errorBody("the cancellation can't be stored"), "invalid_row");
         if (!hasTimeLeft(*call))
             return reply(call, 504, errorBody("the job may have been cancelled"), "outcome_unknown");
         retry(call, &CallerService::commitCancellation);
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -70,7 +70,7 @@
     , m_adapter(openAdapter(plugin, loop, m_settings, clock, m_metrics, m_tableContact))
     , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
           [this] { return m_jobRows.currentAsOf(); }, [this] { return m_operatorRows.currentAsOf(); },
-          m_settings.configApplyTime, m_tableContact })
+          m_settings.configApplyTime, m_tableContact, m_settings.maxRowBytes })
     , m_operatorRows(loop.base(), *m_adapter.table, clock, m_metrics,
           operatorTableSettings(*m_adapter.codec, m_settings), seed + 1)
     , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
@@ -302,7 +302,7 @@
     followVms();
     if (pool == coordinatorPool) {
         CoordinatorContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.machines,
-            *m_adapter.codec, m_fleetRows };
+            *m_adapter.codec, m_fleetRows, m_settings.maxRowBytes };
         m_coordinator = std::make_unique<MachineCoordinator>(
             context, lease, m_leaseTiming, [this] { m_coordinatorEnded = true; });
         m_controlRows.setPauseAfterChanges(holderPause);
@@ -310,7 +310,8 @@
         return beginReadyHolders();
     }
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
-        *m_adapter.machines, *m_adapter.advice, m_directory, [this] { return areViewsFresh(); } };
+        *m_adapter.machines, *m_adapter.advice, m_directory, [this] { return areViewsFresh(); },
+        m_settings.maxRowBytes };
     m_holders[pool] = std::make_unique<PoolHolder>(
         context, pool, lease, m_leaseTiming, m_settings.maxLease, [this] { beginReadyHolders(); },
         [this, pool] { m_endedHolders.push_back(pool); });
--- a/src/libfleet/job_progress.cpp
+++ b/src/libfleet/job_progress.cpp
@@ -2,30 +2,167 @@
 #include <damaskworks/job_progress.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace damask::fleet {
 namespace {
 
 constexpr int rowsPerPage = 500;
 constexpr std::chrono::milliseconds retryDelay { 100 };
-/// Transaction entries besides the writes: the expectation on the lease row.
-constexpr std::size_t reservedEntries = 1;
 
-} // namespace
-
-void appendProgress(JobEntry& job, std::vector<TableWrite>& writes)
+/// The write of the job's state, if its row does not show it.
+std::optional<TableWrite> stateWrite(const JobEntry& job)
 {
-    const auto& id = job.spec.id;
     // The job's own row shows it as queued, and every node reads the rows of states.
     const bool isShownByItsRow = !job.recorded && job.state == JobState::Queued;
-    if (job.recorded != job.state && !isShownByItsRow) {
-        writes.push_back({ std::string(jobTable), rows::stateKey(id), encodeState(job.state) });
-        job.recorded = job.state;
+    if (job.recorded == job.state || isShownByItsRow)
+        return std::nullopt;
+    return TableWrite { std::string(jobTable), rows::stateKey(job.spec.id), encodeState(job.state) };
+}
+
+TableWrite recordWrite(const JobEntry& job, std::int64_t position, std::optional<std::string> text)
+{
+    return { std::string(progressTable), recordKey(job.spec.id, position), std::move(text) };
+}
+
+/// Adds the final state of a job, and deletes its record.
+RecordOutcome appendEnd(JobEntry& job, std::string_view part, const LedgerLimits& limits, LedgerBatch& batch)
+{
+    const auto state = stateWrite(job);
+    const auto deletion = recordWrite(job, 0, std::nullopt);
+    const auto bytes = encodedSize(deletion, part) + (state ? encodedSize(*state, part) : 0);
+    if (!hasRoomFor(batch, 1 + state.has_value(), bytes, limits))
+        return RecordOutcome::BatchFull;
+    if (state)
+        addWrite(batch, *state, part);
+    job.recorded = job.state;
+    if (job.hasRecord)
+        addWrite(batch, deletion, part);
+    auto& rows = job.record.rows;
+    for (auto it = std::next(rows.begin()); it != rows.end(); it = rows.erase(it)) {
+        if (it->second.isStored
+            && !addWriteIfRoom(batch, recordWrite(job, it->first, std::nullopt), part, limits))
+            return RecordOutcome::BatchFull;
     }
-    if (!isFinal(job.state))
-        writes.push_back({ std::string(progressTable), id, encodeProgress(job) });
-    else if (job.hasRecord)
-        writes.push_back({ std::string(progressTable), id, std::nullopt });
+    return RecordOutcome::Complete;
+}
+
+/// Divides the row in two and returns the position of the new one; nothing if the row has a single task.
+std::optional<std::int64_t> divideRow(JobEntry& job, std::int64_t position)
+{
+    const auto range = rangeOf(job.record, position);
+    const auto end = std::min(range.end, countPositions(job.spec));
+    if (end - range.first < 2)
+        return std::nullopt;
+    const auto middle = range.first + (end - range.first) / 2;
+    job.record.rows[middle] = {};
+    return middle;
+}
+
+/// Adds the rows of an unfinished job that remain to be written. A row that is divided is written after the
+/// new ones, so that the table has each task's progress at any time.
+RecordOutcome appendRows(JobEntry& job, std::string_view part, const LedgerLimits& limits, LedgerBatch& batch)
+{
+    auto& record = job.record;
+    auto remaining = record.remainingBefore.value_or(TaskRange {}.end);
+    while (true) {
+        const auto it = std::prev(record.rows.lower_bound(remaining));
+        auto& [position, row] = *it;
+        auto text = encodeProgress(job, rangeOf(record, position));
+        if (text.size() > limits.dividedRowBytes) {
+            if (const auto added = divideRow(job, position)) {
+                remaining = *added + 1;
+                continue;
+            }
+            if (text.size() > limits.maxRowBytes)
+                return RecordOutcome::RowTooLong;
+        }
+        const bool isFirst = position == 0;
+        const auto hash = hashOf(text);
+        const bool isUnchanged = !isFirst && (row.isStored ? row.hash == hash : text.empty());
+        if (isUnchanged) {
+            remaining = position;
+            continue;
+        }
+        const auto state = isFirst ? stateWrite(job) : std::nullopt;
+        const bool isEmpty = text.empty();
+        auto write = recordWrite(job, position, isEmpty ? std::nullopt : std::optional(std::move(text)));
+        const auto bytes = encodedSize(write, part) + (state ? encodedSize(*state, part) : 0);
+        if (!hasRoomFor(batch, 1 + state.has_value(), bytes, limits)) {
+            record.remainingBefore = position + 1;
+            return RecordOutcome::BatchFull;
+        }
+        if (state) {
+            addWrite(batch, *state, part);
+            job.recorded = job.state;
+        }
+        addWrite(batch, std::move(write), part);
+        row = { hash, !isEmpty };
+        if (isFirst)
+            return RecordOutcome::Complete;
+        remaining = position;
+    }
+}
+
+} // namespace
+
+std::set<std::string> jobsWithRows(const LedgerBatch& batch)
+{
+    auto jobs = batch.jobs;
+    for (const auto& write : batch.writes) {
+        const auto key = write.table == progressTable ? parseRecordKey(write.key) : std::nullopt;
+        if (key)
+            jobs.insert(key->job);
+    }
+    return jobs;
+}
+
+RecordOutcome appendRecord(
+    PoolState& state, JobEntry& job, std::uint64_t number, const LedgerLimits& limits, LedgerBatch& batch)
+{
+    const auto part = rows::poolPart(state.pool);
+    const bool isBegun = job.record.remainingBefore.has_value();
+    const auto writesBefore = batch.writes.size();
+    if (!isBegun)
+        closeEndedOccurrences(state, job);
+    const auto outcome
+        = isFinal(job.state) ? appendEnd(job, part, limits, batch) : appendRows(job, part, limits, batch);
+    const bool hasWritten = batch.writes.size() > writesBefore;
+    // Ends that are applied after the first transaction of a record need not be in it.
+    if (!isBegun && (hasWritten || outcome == RecordOutcome::Complete))
+        job.lastBatch = number;
+    if (outcome == RecordOutcome::BatchFull && !isBegun && !hasWritten)
+        job.record.remainingBefore.reset();
+    const bool isStateWritten = isFinal(job.state) && job.recorded == job.state && hasWritten;
+    if (outcome != RecordOutcome::Complete && !isStateWritten)
+        return outcome;
+    job.record.remainingBefore.reset();
+    batch.jobs.insert(job.spec.id);
+    // A record of several transactions may lack changes since the first one.
+    job.dirty = outcome != RecordOutcome::Complete || (isBegun && !isFinal(job.state));
+    return outcome;
+}
+
+std::set<std::string> restoreFailedRecords(PoolState& state, const LedgerBatch& batch)
+{
+    auto jobs = jobsWithRows(batch);
+    for (const auto& id : jobs) {
+        const auto job = state.jobs.find(id);
+        if (job == state.jobs.end())
+            continue;
+        job->second.dirty = true;
+        job->second.recorded.reset();
+        job->second.record.remainingBefore.reset();
+    }
+    for (const auto& write : batch.writes) {
+        const auto key = write.table == progressTable ? parseRecordKey(write.key) : std::nullopt;
+        const auto job = key ? state.jobs.find(key->job) : state.jobs.end();
+        // The transaction may have been performed, or not, so the table may have the row in either case.
+        if (job != state.jobs.end())
+            job->second.record.rows[key->position] = { 0, true };
+    }
+    return jobs;
 }
 
 std::vector<JobEntry*> jobsToRecord(PoolState& state, const std::set<std::string>& changed)
@@ -44,20 +181,22 @@
     return jobs;
 }
 
-void collectRecords(
-    PoolState& state, std::set<std::string>& dirtyJobs, std::uint64_t number, LedgerBatch& batch)
+std::set<std::string> collectRecords(PoolState& state, std::set<std::string>& dirtyJobs, std::uint64_t number,
+    const LedgerLimits& limits, LedgerBatch& batch)
 {
+    std::set<std::string> tooLong;
     for (auto* job : jobsToRecord(state, dirtyJobs)) {
-        if (batch.writes.size() + reservedEntries + maxWritesPerJob > maxTransactionEntries) {
-            batch.isComplete = false;
-            return;
-        }
-        appendProgress(*job, batch.writes);
-        batch.jobs.insert(job->spec.id);
-        job->dirty = false;
-        job->lastBatch = number;
-        dirtyJobs.erase(job->spec.id);
+        const auto outcome = appendRecord(state, *job, number, limits, batch);
+        if (!job->dirty)
+            dirtyJobs.erase(job->spec.id);
+        if (outcome == RecordOutcome::RowTooLong)
+            tooLong.insert(job->spec.id);
+        if (outcome != RecordOutcome::BatchFull)
+            continue;
+        batch.isComplete = false;
+        break;
     }
+    return tooLong;
 }
 
 void addAppliedEnds(const PoolState& state, const std::string& vm, const VmReport& report,
@@ -74,14 +213,21 @@
 
 namespace {
 
+/// Number of ends from which on those of rejected records don't hold back the others. A VM lists twice as
+/// many.
+constexpr std::size_t maxHeldBackEnds = 250;
+
 /// Number of the last end up to which all are durable once the jobs that are not dirty are; 0 if the first is
 /// not.
-std::uint64_t lastDurableEnd(const PoolState& state, const std::deque<AppliedEnd>& ends)
+std::uint64_t lastDurableEnd(
+    const PoolState& state, const std::deque<AppliedEnd>& ends, const RejectedRecords& rejected)
 {
     std::uint64_t last = 0;
     for (const auto& end : ends) {
         const auto job = state.jobs.find(end.job);
-        if (job != state.jobs.end() && job->second.dirty && job->second.committedBatch <= end.afterBatch)
+        const bool isPassedOver = ends.size() > maxHeldBackEnds && rejected.setAside.contains(end.job);
+        if (!isPassedOver && job != state.jobs.end() && job->second.dirty
+            && job->second.committedBatch <= end.afterBatch)
             break;
         last = end.number;
     }
@@ -90,13 +236,14 @@
 
 } // namespace
 
-void collectEnds(const PoolState& state, const UnacknowledgedEnds& ends, LedgerBatch& batch)
+void collectEnds(const PoolState& state, const UnacknowledgedEnds& ends, const RejectedRecords& rejected,
+    LedgerBatch& batch)
 {
     for (const auto& [name, applied] : ends) {
         const auto vm = state.vms.find(name);
         if (vm == state.vms.end())
             continue;
-        const auto last = lastDurableEnd(state, applied);
+        const auto last = lastDurableEnd(state, applied, rejected);
         if (last > vm->second.acknowledged)
             batch.ends.emplace(name, DurableEnds { vm->second.bootTime, last });
     }
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -18,8 +18,8 @@
 constexpr milliseconds maxCommandDelay { 12000 };
 constexpr milliseconds demandLogInterval { 1000 };
 constexpr milliseconds statusTimeout { 1000 };
-/// Transaction entries besides the coordinator's rows: the expectation on the lease row.
-constexpr std::size_t reservedEntries = 1;
+/// Pause after a status that the table has rejected.
+constexpr milliseconds rejectedStatusPause { 5000 };
 
 } // namespace
 
@@ -39,7 +39,9 @@
               [this] {
                   m_ended = true;
                   m_onEnd();
-              } })
+              },
+              [this](const LedgerBatch& batch) { onRejected(batch); } })
+    , m_ledgerLimits(ledgerLimitsFor(context.maxRowBytes))
     , m_timer(context.base, [this] { reconcile(); })
 {
 }
@@ -361,8 +363,11 @@
     for (const auto& [number, wave] : m_state.waves) {
         const bool completed = m_committedWaves.contains(number) && isComplete(m_state, wave);
         const auto reported = m_reported.find(number);
+        const auto rejected = m_statusRejectedAt.find(number);
+        const bool isPaused = rejected != m_statusRejectedAt.end()
+            && m_context.clock.now() - rejected->second < rejectedStatusPause;
         const bool needsReport = reported == m_reported.end() || (completed && !reported->second);
-        if (needsReport && !m_statusWritesInFlight.contains(number))
+        if (needsReport && !isPaused && !m_statusWritesInFlight.contains(number))
             writeWaveStatus(number, completed);
     }
 }
@@ -382,6 +387,8 @@
             if (!*alive || m_ended)
                 return;
             m_statusWritesInFlight.erase(wave);
+            if (!result && result.error() == TableFailure::Invalid)
+                m_statusRejectedAt[wave] = m_context.clock.now();
             if (!result && result.error() != TableFailure::Conflict)
                 return; // the next reconcile() tries again
             m_reported[wave] = completed;
@@ -390,24 +397,67 @@
         });
 }
 
-LedgerBatch MachineCoordinator::collect()
+bool MachineCoordinator::collectRow(
+    LedgerBatch& batch, const std::string& key, std::optional<std::string> text)
 {
-    LedgerBatch batch;
-    const std::string table(controlTable);
-    // The wave's row must record a machine as done no later than its task row is deleted.
+    if (text && text->size() > m_ledgerLimits.maxRowBytes) {
+        rejectRows({ key }, "row too long");
+        return false;
+    }
+    const auto part = rows::poolPart(coordinatorPool);
+    if (addWriteIfRoom(batch, { std::string(controlTable), key, std::move(text) }, part, m_ledgerLimits))
+        return true;
+    batch.isComplete = false;
+    return false;
+}
+
+std::function<bool(const std::string& key)> MachineCoordinator::selectRows(
+    const std::set<std::string>& keys, LedgerBatch& batch) const
+{
+    const auto now = m_context.clock.now();
+    const auto alone = nextAlone(m_rejectedRows, keys, now);
+    batch.isComplete = batch.isComplete && !alone;
+    return [this, alone, now](const std::string& key) {
+        return alone ? key == *alone : !isSetAside(m_rejectedRows, key, now);
+    };
+}
+
+void MachineCoordinator::collectWaves(LedgerBatch& batch)
+{
+    std::set<std::string> keys;
     for (const auto wave : m_changedWaves)
-        batch.writes.push_back(
-            { table, rows::waveKey(wave), encodeWave({ m_waveStartTimes[wave], m_state.waves[wave].done }) });
-    m_changedWaves.clear();
-    while (!m_changedTasks.empty() && batch.writes.size() < maxTransactionEntries - reservedEntries) {
-        const auto id = *m_changedTasks.begin();
-        m_changedTasks.erase(m_changedTasks.begin());
-        const auto task = m_state.tasks.find(id);
+        keys.insert(rows::waveKey(wave));
+    const auto isSelected = selectRows(keys, batch);
+    std::erase_if(m_changedWaves, [&](std::int64_t wave) {
+        const auto key = rows::waveKey(wave);
+        return isSelected(key)
+            && collectRow(batch, key, encodeWave({ m_waveStartTimes[wave], m_state.waves[wave].done }));
+    });
+}
+
+void MachineCoordinator::collectTasks(LedgerBatch& batch)
+{
+    std::set<std::string> keys;
+    for (const auto& machine : m_changedTasks)
+        keys.insert(rows::machineKey(machine));
+    const auto isSelected = selectRows(keys, batch);
+    std::erase_if(m_changedTasks, [&](const std::string& machine) {
+        const auto key = rows::machineKey(machine);
+        const auto task = m_state.tasks.find(machine);
         std::optional<std::string> text;
         if (task != m_state.tasks.end())
             text = encodeTask(task->second);
-        batch.writes.push_back({ table, rows::machineKey(id), std::move(text) });
-    }
+        return isSelected(key) && collectRow(batch, key, std::move(text));
+    });
+}
+
+LedgerBatch MachineCoordinator::collect()
+{
+    LedgerBatch batch;
+    // The wave's row must record a machine as done no later than its task row is deleted.
+    collectWaves(batch);
+    if (batch.isComplete)
+        collectTasks(batch);
     return batch;
 }
 
@@ -425,7 +475,11 @@
         if (!m_changedWaves.contains(number))
             m_committedWaves.insert(number);
     }
-    if (!m_changedTasks.empty())
+    std::set<std::string> keys;
+    for (const auto& write : batch.writes)
+        keys.insert(write.key);
+    noteWritten(m_rejectedRows, keys);
+    if (!m_changedTasks.empty() || !m_changedWaves.empty())
         m_ledger.markDirty();
     reconcile();
 }
@@ -442,4 +496,21 @@
     }
 }
 
+void MachineCoordinator::onRejected(const LedgerBatch& batch)
+{
+    onFailed(batch);
+    std::set<std::string> keys;
+    for (const auto& write : batch.writes)
+        keys.insert(write.key);
+    rejectRows(keys, "rejected by the table");
+}
+
+void MachineCoordinator::rejectRows(const std::set<std::string>& keys, std::string_view reason)
+{
+    noteRejection(m_rejectedRows, keys, m_context.clock.now());
+    logEvent(LogLevel::Error, "record_rejected",
+        { { "pool", std::string(coordinatorPool) }, { "records", std::to_string(keys.size()) },
+            { "first", *keys.begin() }, { "reason", std::string(reason) } });
+}
+
 } // namespace damask::fleet
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -280,3 +280,43 @@
     waitForLists(4);
     BOOST_TEST(machines.commanded.empty());
 }
+
+// All waves that a coordinator finds without a record were in one transaction, which the table rejected for
+// good.
+BOOST_FIXTURE_TEST_CASE(moreWavesThanATransactionHoldsAreRecorded, CoordinatorFixture)
+{
+    constexpr int waves = 150;
+    begin();
+    for (int number = 2; number <= waves; ++number)
+        coordinator->applyWave({ number, { "x" + std::to_string(number) }, 60s, 1 });
+    const auto part = rows::poolPart(coordinatorPool);
+    const auto areAllRecorded = [&] {
+        for (int number = 1; number <= waves; ++number) {
+            if (!table.find(std::string(controlTable), part, rows::waveKey(number)))
+                return false;
+        }
+        return true;
+    };
+    BOOST_TEST(loop.runUntil(areAllRecorded, 5s));
+    BOOST_TEST(table.rejectedTransactions == 0);
+}
+
+// The rows of all other machines were in the transaction that the table rejected.
+BOOST_FIXTURE_TEST_CASE(rejectedRowOfAMachineHoldsBackNoOtherMachine, CoordinatorFixture)
+{
+    constexpr int count = 5;
+    config.pools["off"] = { "off", true, false };
+    wave.maxDown = count;
+    for (int i = 0; i < count; ++i) {
+        const auto id = "m" + std::to_string(i);
+        machines.machines[id] = { id, "off", MachineState::Up, "" };
+        wave.machines.push_back(id);
+    }
+    table.rejectedKey = rows::machineKey("m2");
+    begin();
+    BOOST_TEST(loop.runUntil([&] { return machines.commanded.size() == count - 1u; }, 10s));
+    BOOST_TEST(table.rejectedTransactions > 0);
+    BOOST_TEST(!machines.commanded.contains("m2"));
+    table.rejectedKey.clear();
+    BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 10s));
+}
--- a/src/libfleet/pool_election_test.cpp
+++ b/src/libfleet/pool_election_test.cpp
@@ -91,6 +91,7 @@
             Loop loop;
             ManualClock clock;
             FakeTable table(loop.base());
+            table.maxRowBytes = 500'000; // the nested row is larger than another writer could write
             std::optional<AcquiredLease> acquired;
             PoolElection election(loop.base(), table, clock, "n1", "n1-1", {}, 1, LeaseTiming {},
                 { [] { return true; }, [] { return std::size_t(0); },
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -30,6 +30,8 @@
 /// Least time between two raises of the fencing token, each of which is a write; they serve all VMs that need
 /// one.
 constexpr milliseconds minTokenAge { 100 };
+/// Longest JSON escape of a byte, and room for the rest of a row.
+constexpr std::size_t maxEscapedLength = 8;
 /// Interval of the machine lists that show which VMs a new holder has to hear from.
 constexpr milliseconds recoveryListInterval { 1000 };
 
@@ -91,7 +93,8 @@
               [this] {
                   m_ended = true;
                   m_onEnd();
-              } })
+              },
+              [this](const LedgerBatch& batch) { onRejected(batch); } })
     , m_advisor(context.advice, m_state, context.clock, context.metrics,
           [this] { scheduleReconcile(reconcileDelay); })
     , m_specReader(context.base, context.table, context.metrics,
@@ -103,6 +106,9 @@
           })
     , m_reconcileTimer(context.base, [this] { reconcile(); })
 {
+    m_ledgerLimits = ledgerLimitsFor(context.maxRowBytes);
+    m_state.limits.maxCheckpointBytes
+        = std::min(m_state.limits.maxCheckpointBytes, context.maxRowBytes / maxEscapedLength);
     m_state.pool = std::move(pool);
     m_state.term = lease.row.term;
     m_state.fencingToken = m_ledger.fencingToken();
@@ -217,13 +223,21 @@
 {
     const auto id = job.id;
     auto progress = m_earlierProgress->extract(id);
+    FurtherRows furtherRows;
+    const auto nextJob = m_earlierProgress->lower_bound(id + "0"); // '/' comes before '0'
+    auto row = m_earlierProgress->lower_bound(id + "/");
+    while (row != nextJob) {
+        if (const auto key = parseRecordKey(row->first))
+            furtherRows.emplace(key->position, std::move(row->second));
+        row = m_earlierProgress->erase(row);
+    }
     // A state without progress means that the earlier holder had not started the job, or had recorded its
     // end.
     std::string progressText = progress ? std::move(progress.mapped())
         : record.hasStateRow            ? encodeState(record.state)
                                         : "";
     const bool isRecovered = m_state.term > 0 && record.version < m_acquiredVersion;
-    if (!addJob(m_state, std::move(job), progressText, isRecovered))
+    if (!addJob(m_state, std::move(job), progressText, isRecovered, furtherRows))
         logEvent(LogLevel::Error, "progress_row_unreadable", { { "pool", m_state.pool }, { "job", id } });
     const auto added = m_state.jobs.find(id);
     if (added == m_state.jobs.end())
@@ -353,6 +367,7 @@
     sendHeartbeats(vms, now);
     logRunEvents();
     visitJobs();
+    resumeRejectedRecords(now);
     removeEndedJobs();
     markDirtyIfNeeded();
     publishLoad(now);
@@ -381,7 +396,7 @@
         const auto job = m_state.jobs.find(id);
         if (job == m_state.jobs.end())
             continue;
-        if (job->second.dirty)
+        if (job->second.dirty && !isSetAside(m_rejectedRecords, id, m_context.clock.now()))
             m_dirtyJobs.insert(id);
         if (isFinal(job->second.state))
             m_endedJobs.insert(id);
@@ -521,30 +536,66 @@
             { "longest_task", toString(waiting.longestTask) }, { "vms", formatObstacles(waiting.vms) } });
 }
 
+void PoolHolder::collectLoad(LedgerBatch& batch, TimePoint now)
+{
+    if (!m_pendingLoad || isSetAside(m_rejectedRecords, std::string(loadKey), now))
+        return;
+    m_publishedLoad = *m_pendingLoad;
+    m_pendingLoad.reset();
+    auto text = encodeLoad(m_publishedLoad);
+    if (text.size() > m_ledgerLimits.maxRowBytes)
+        return rejectRecords({ std::string(loadKey) }, "row too long");
+    addWrite(batch, { std::string(loadTable), std::string(loadKey), std::move(text) },
+        rows::poolPart(m_state.pool));
+}
+
 LedgerBatch PoolHolder::collectBatch()
 {
     LedgerBatch batch;
-    if (m_pendingLoad) {
-        m_publishedLoad = *m_pendingLoad;
-        m_pendingLoad.reset();
-        batch.writes.push_back({ std::string(loadTable), std::string(loadKey), encodeLoad(m_publishedLoad) });
-    }
+    const auto now = m_context.clock.now();
     ++m_batchCount;
     visitJobs();
     std::erase_if(m_dirtyJobs, [&](const std::string& id) {
         const auto job = m_state.jobs.find(id);
         return job == m_state.jobs.end() || !job->second.dirty;
     });
-    collectRecords(m_state, m_dirtyJobs, m_batchCount, batch);
+    auto alone = nextAlone(m_rejectedRecords, m_dirtyJobs, now);
+    if (!alone && m_pendingLoad)
+        alone = nextAlone(m_rejectedRecords, { std::string(loadKey) }, now);
+    if (!alone || *alone == loadKey)
+        collectLoad(batch, now);
+    std::set<std::string> jobs;
+    if (alone)
+        jobs.insert(*alone);
+    const auto tooLong
+        = collectRecords(m_state, alone ? jobs : m_dirtyJobs, m_batchCount, m_ledgerLimits, batch);
+    if (alone && !jobs.contains(*alone))
+        m_dirtyJobs.erase(*alone);
+    batch.isComplete = batch.isComplete && !alone;
+    for (const auto& id : tooLong)
+        rejectRecords({ id }, "row too long");
     m_incompleteBatches += !batch.isComplete;
     m_jobsInTransaction.insert(batch.jobs.begin(), batch.jobs.end());
-    collectEnds(m_state, m_unacknowledgedEnds, batch);
+    collectEnds(m_state, m_unacknowledgedEnds, m_rejectedRecords, batch);
     return batch;
 }
 
+namespace {
+
+bool hasLoad(const LedgerBatch& batch)
+{
+    return std::any_of(batch.writes.begin(), batch.writes.end(),
+        [](const TableWrite& write) { return write.table == loadTable; });
+}
+
+} // namespace
+
 void PoolHolder::onCommitted(const LedgerBatch& batch)
 {
     m_jobsInTransaction.clear();
+    noteWritten(m_rejectedRecords, batch.jobs);
+    if (hasLoad(batch))
+        noteWritten(m_rejectedRecords, { std::string(loadKey) });
     acknowledgeEnds(m_state, batch, m_unacknowledgedEnds);
     for (const auto& id : batch.jobs) {
         const auto found = m_state.jobs.find(id);
@@ -587,17 +638,45 @@
             { "ran_ms", std::to_string(runTime.count()) } });
 }
 
-void PoolHolder::onFailed(const LedgerBatch& batch)
+std::set<std::string> PoolHolder::restoreRecords(const LedgerBatch& batch)
 {
     m_jobsInTransaction.clear();
     m_publishedLoad = PoolLoad {}; // so that publishLoad() writes it again
-    for (const auto& id : batch.jobs) {
-        auto found = m_state.jobs.find(id);
-        if (found == m_state.jobs.end())
-            continue;
-        found->second.dirty = true;
-        m_dirtyJobs.insert(id);
-        found->second.recorded.reset();
+    auto jobs = restoreFailedRecords(m_state, batch);
+    for (const auto& id : jobs) {
+        if (m_state.jobs.contains(id))
+            m_dirtyJobs.insert(id);
+    }
+    return jobs;
+}
+
+void PoolHolder::onFailed(const LedgerBatch& batch) { restoreRecords(batch); }
+
+void PoolHolder::onRejected(const LedgerBatch& batch)
+{
+    auto ids = restoreRecords(batch);
+    if (hasLoad(batch))
+        ids.insert(std::string(loadKey));
+    rejectRecords(ids, "rejected by the table");
+}
+
+void PoolHolder::rejectRecords(const std::set<std::string>& ids, std::string_view reason)
+{
+    const auto now = m_context.clock.now();
+    noteRejection(m_rejectedRecords, ids, now);
+    std::erase_if(m_dirtyJobs, [&](const std::string& id) { return isSetAside(m_rejectedRecords, id, now); });
+    m_context.metrics.count("ledger_rejections_total{pool=\"" + m_state.pool + "\"}");
+    logEvent(LogLevel::Error, "record_rejected",
+        { { "pool", m_state.pool }, { "records", std::to_string(ids.size()) }, { "first", *ids.begin() },
+            { "reason", std::string(reason) } });
+}
+
+void PoolHolder::resumeRejectedRecords(TimePoint now)
+{
+    for (const auto& [id, pause] : m_rejectedRecords.setAside) {
+        const auto job = m_state.jobs.find(id);
+        if (now >= pause.until && job != m_state.jobs.end() && job->second.dirty)
+            m_dirtyJobs.insert(id);
     }
 }
 
--- a/src/libfleet/pool_holder_test.cpp
+++ b/src/libfleet/pool_holder_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace damask;
 using namespace damask::fleet;
@@ -51,6 +52,58 @@
     ManualClock& m_clock;
 };
 
+/// VMs whose tasks are done as soon as they are started.
+class WorkingEndpoints final : public EndpointControl {
+public:
+    explicit WorkingEndpoints(ManualClock& clock)
+        : m_clock(clock)
+    {
+    }
+
+    std::set<std::string> startedJobs;
+
+    void start(const VmTarget&, const StartCommand& command, CommandCallback callback) override
+    {
+        startedJobs.insert(command.task.job);
+        m_ends.push_back({ ++m_endCount, command.task, command.run, EndKind::Done, "" });
+        m_responses.push_back([this, callback = std::move(callback)] {
+            callback({ CommandOutcome::Accepted, vmClock() });
+        });
+    }
+    void stop(const VmTarget&, const TaskId&, std::uint32_t, CommandCallback) override { }
+    void heartbeat(const VmTarget&, const HeartbeatCommand& command, ReportCallback callback) override
+    {
+        std::erase_if(m_ends, [&](const EndReport& end) { return end.number <= command.acknowledged; });
+        m_responses.push_back([this, callback = std::move(callback)] {
+            VmReport report;
+            report.vmClock = vmClock();
+            report.bootTime = 1;
+            constexpr std::size_t maxListedEnds = 500;
+            report.ended.assign(m_ends.begin(),
+                m_ends.begin() + static_cast<std::ptrdiff_t>(std::min(m_ends.size(), maxListedEnds)));
+            callback(report);
+        });
+    }
+    void throttle(const VmTarget&, const TaskId&, std::uint32_t, int, CommandCallback) override { }
+
+    void respond()
+    {
+        for (auto& response : std::exchange(m_responses, {}))
+            response();
+    }
+
+private:
+    milliseconds vmClock() const
+    {
+        return std::chrono::duration_cast<milliseconds>(m_clock.now().time_since_epoch());
+    }
+
+    ManualClock& m_clock;
+    std::uint64_t m_endCount = 0;
+    std::vector<EndReport> m_ends; ///< not acknowledged
+    std::vector<std::function<void()>> m_responses;
+};
+
 class NoMachines final : public MachineControl {
 public:
     void list(std::function<void(tl::expected<std::vector<Machine>, CommandOutcome>)>) override { }
@@ -153,6 +206,70 @@
     }
 };
 
+/// A holder of a pool with one VM whose tasks end at once, and a table of small rows.
+struct WorkFixture {
+    Loop loop;
+    ManualClock clock;
+    Metrics metrics;
+    FakeTable table { loop.base() };
+    WorkingEndpoints endpoints { clock };
+    NoMachines machines;
+    NoAdvice advice;
+    JobDirectory directory;
+    std::unique_ptr<PoolHolder> holder;
+    Version version = 0;
+
+    explicit WorkFixture(std::size_t maxRowBytes)
+    {
+        table.maxRowBytes = maxRowBytes;
+        clock.advance(1h);
+        const LeaseRow lease { "n1", "s1", 0, 0 };
+        table.commit({ rows::poolPart("pricing"), { { std::string(controlTable), std::string(leaseKey), 0 } },
+                         { { std::string(controlTable), std::string(leaseKey), encodeLease(lease) } } },
+            1s, [&](TableResult<Version> result) { version = *result; });
+        BOOST_REQUIRE(loop.runUntil([&] { return version > 0; }, 1s));
+        HolderContext context { loop.base(), clock, metrics, table, endpoints, machines, advice, directory,
+            [] { return true; }, maxRowBytes };
+        holder = std::make_unique<PoolHolder>(
+            context, "pricing", AcquiredLease { lease, version, clock.now() }, LeaseTiming {}, 4500ms, [] {},
+            [] {});
+        holder->begin(HolderFixture::makeConfig(), { { "v1", HolderFixture::makeVm() } });
+    }
+
+    /// Hands in a job with one task, or one a time.
+    void submit(const std::string& id, int times = 0)
+    {
+        StepSpec step;
+        step.need = { 100, 10, 0 };
+        step.estimate = 10ms;
+        JobSpec job;
+        job.id = id;
+        job.queue = "quotes";
+        job.pool = "pricing";
+        job.steps = { step };
+        job.occurrences = times;
+        directory.apply({ rows::jobPart("quotes", id), rows::jobKey(id), encodeJob(job), version });
+        holder->applyJob(id, *directory.find(id));
+    }
+
+    std::string recordedState(const std::string& id) const
+    {
+        const auto* row = table.find(std::string(jobTable), rows::poolPart("pricing"), rows::stateKey(id));
+        return row ? std::string(nameOf(jobStateNames, decodeState(row->value))) : "";
+    }
+
+    /// Lets time pass until the condition holds, for at most \p time.
+    template <typename Condition> bool runUntil(Condition condition, milliseconds time)
+    {
+        for (auto passed = 0ms; passed < time && !condition(); passed += 5ms) {
+            clock.advance(5ms);
+            endpoints.respond();
+            loop.runUntil(condition, 1ms);
+        }
+        return condition();
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(pool_holder)
@@ -216,4 +333,45 @@
     }
 }
 
+// Each run of a recurring job stayed in the job's one row. Once the row was too long, no job of the pool was
+// recorded any more, and none started (review/4).
+BOOST_AUTO_TEST_CASE(recurringJobWithMoreRunsThanARowHoldsStopsNoOtherJob)
+{
+    constexpr int times = 300;
+    constexpr std::size_t rowBytes = 1500;
+    WorkFixture pool(rowBytes);
+    pool.submit("a1", times);
+    BOOST_TEST(pool.runUntil([&] { return pool.recordedState("a1") == "completed"; }, 20s));
+    pool.submit("a2");
+    BOOST_TEST(pool.runUntil([&] { return pool.recordedState("a2") == "completed"; }, 5s));
+    BOOST_TEST(pool.table.rejectedTransactions == 0);
+    BOOST_TEST(pool.table.rows(std::string(progressTable)).empty());
+}
+
+// A row that the table rejects for whatever reason held back the rows of all other jobs of the pool.
+BOOST_AUTO_TEST_CASE(rejectedRecordHoldsBackNoOtherJob)
+{
+    constexpr int jobs = 700;
+    WorkFixture pool(defaultMaxRowBytes);
+    pool.table.rejectedKey = "a1";
+    pool.submit("a1");
+    BOOST_TEST(pool.runUntil([&] { return pool.table.rejectedTransactions > 0; }, 5s));
+    const auto name = [](int number) { return "b" + std::to_string(number); };
+    for (int i = 0; i < jobs; ++i)
+        pool.submit(name(i));
+    const auto areAllCompleted = [&] {
+        for (int i = 0; i < jobs; ++i) {
+            if (pool.recordedState(name(i)) != "completed")
+                return false;
+        }
+        return true;
+    };
+    BOOST_TEST(pool.runUntil(areAllCompleted, 20s));
+    BOOST_TEST(pool.metrics.counter("ledger_rejections_total{pool=\"pricing\"}") > 0u);
+    BOOST_TEST(pool.recordedState("a1") != "completed");
+    // It is tried again now and then.
+    pool.table.rejectedKey.clear();
+    BOOST_TEST(pool.runUntil([&] { return pool.recordedState("a1") == "completed"; }, 70s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libfleet/pool_ledger.cpp
+++ b/src/libfleet/pool_ledger.cpp
@@ -14,9 +14,33 @@
 /// Changes within this time go into one transaction, which then records the ends of several runs.
 constexpr milliseconds batchDelay { 15 };
 constexpr milliseconds retryDelay { 100 };
+/// Entries of a transaction besides the writes: the expectation on the lease row.
+constexpr std::size_t reservedEntries = 1;
+/// Bytes of a call besides its writes: the names of its lists and that expectation.
+constexpr std::size_t reservedBytes = 512;
 
 } // namespace
 
+bool hasRoomFor(const LedgerBatch& batch, std::size_t entries, std::size_t bytes, const LedgerLimits& limits)
+{
+    return batch.writes.size() + reservedEntries + entries <= maxTransactionEntries
+        && batch.bytes + reservedBytes + bytes <= std::min(limits.maxBatchBytes, maxTransactionBytes);
+}
+
+void addWrite(LedgerBatch& batch, TableWrite write, std::string_view part)
+{
+    batch.bytes += encodedSize(write, part);
+    batch.writes.push_back(std::move(write));
+}
+
+bool addWriteIfRoom(LedgerBatch& batch, TableWrite write, std::string_view part, const LedgerLimits& limits)
+{
+    if (!hasRoomFor(batch, 1, encodedSize(write, part), limits))
+        return false;
+    addWrite(batch, std::move(write), part);
+    return true;
+}
+
 PoolLedger::PoolLedger(event_base* base, SharedTable& table, const Clock& clock, Metrics& metrics,
     std::string pool, AcquiredLease lease, LeaseTiming timing, Callbacks callbacks)
     : m_table(table)
@@ -167,7 +191,8 @@
                     m_dirtySince -= batchDelay;
                 return sendNext();
             }
-            m_callbacks.failed(batch);
+            const bool isRejected = result.error() == TableFailure::Invalid && m_callbacks.rejected;
+            isRejected ? m_callbacks.rejected(batch) : m_callbacks.failed(batch);
             if (result.error() == TableFailure::Conflict)
                 return readLease();
             m_mustRenew = m_mustRenew || result.error() == TableFailure::Unknown;
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -99,6 +99,18 @@
     markRunsChanged(state, job);
 }
 
+/// Takes over the checkpoint of a run unless it is too long to be recorded.
+void keepCheckpoint(PoolState& state, const VmState& vm, const TaskId& id, TaskState& task, std::uint32_t run,
+    const std::string& checkpoint)
+{
+    if (checkpoint.empty() || task.done)
+        return;
+    if (checkpoint.size() <= state.limits.maxCheckpointBytes)
+        task.checkpoint = checkpoint;
+    else if (!std::exchange(task.hasSkippedCheckpoint, true))
+        state.runEvents.push_back({ vm.entry.id, id, run, RunEventKind::CheckpointTooLong });
+}
+
 void applyEnd(PoolState& state, VmState& vm, const EndReport& end, TimePoint now)
 {
     vm.orphanRuns.erase({ end.task, end.run });
@@ -116,9 +128,7 @@
         return;
     }
     task->lastRun = std::max(task->lastRun, end.run);
-    if (!end.checkpoint.empty() && !task->done) {
-        task->checkpoint = end.checkpoint;
-    }
+    keepCheckpoint(state, vm, end.task, *task, end.run, end.checkpoint);
     if (isCurrentRun)
         releaseRun(state, end.task, *task);
     switch (end.kind) {
@@ -191,8 +201,8 @@
 void applyRunning(PoolState& state, VmState& vm, const RunReport& report, TimePoint now)
 {
     auto* task = findTask(state, report.task);
-    if (task && !report.checkpoint.empty() && !task->done)
-        task->checkpoint = report.checkpoint;
+    if (task)
+        keepCheckpoint(state, vm, report.task, *task, report.run, report.checkpoint);
     if (task && task->run && task->run->vm == vm.entry.id && task->run->number == report.run) {
         auto& job = state.jobs.find(report.task.job)->second;
         markJobRunning(state, job);
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -34,11 +34,11 @@
         step.tasks.resize(static_cast<std::size_t>(spec.count));
         it->second.steps.push_back(std::move(step));
     }
-    job.nextOccurrence = std::max(job.nextOccurrence, number + 1);
     return it->second;
 }
 
-bool addJob(PoolState& state, JobSpec spec, std::string_view progress, bool isRecovered)
+bool addJob(PoolState& state, JobSpec spec, std::string_view progress, bool isRecovered,
+    const FurtherRows& furtherRows)
 {
     if (state.jobs.contains(spec.id))
         return true;
@@ -49,7 +49,13 @@
     job.hasRecord = !progress.empty();
     // Without a record no earlier holder has started any task.
     job.isRecovered = isRecovered && job.hasRecord;
-    const bool isReadable = progress.empty() || decodeProgress(job, progress);
+    bool isReadable = progress.empty() || decodeProgress(job, progress);
+    job.record.rows[0].isStored = job.hasRecord;
+    for (const auto& [position, text] : furtherRows) {
+        // A later row is the newer one where rows overlap: the earlier one is written anew after it.
+        isReadable = decodeProgress(job, text) && isReadable;
+        job.record.rows[position] = { hashOf(text), true };
+    }
     if (isFinal(job.state))
         return isReadable;
     if (job.spec.occurrences == 0)
@@ -118,7 +124,7 @@
         return nullptr;
     // A run of an occurrence proves that the occurrence was opened, even if the record lacks it.
     const int limit = std::max(job->second.spec.occurrences, 1);
-    if (id.occurrence >= limit)
+    if (id.occurrence >= limit || contains(job->second.endedOccurrences, id.occurrence))
         return nullptr;
     const auto opened = job->second.occurrences.size();
     auto& occurrence = openOccurrence(job->second, id.occurrence);
@@ -143,7 +149,7 @@
     if (isFinal(job.state))
         return;
     const int wanted = std::max(job.spec.occurrences, 1);
-    bool all = static_cast<int>(job.occurrences.size()) >= wanted;
+    bool all = static_cast<int>(job.occurrences.size()) + job.endedOccurrences.count >= wanted;
     for (const auto& [number, occurrence] : job.occurrences) {
         for (const auto& step : occurrence.steps)
             all = all && step.doneTasks == static_cast<int>(step.tasks.size());
@@ -156,6 +162,27 @@
     markRunsChanged(state, job);
 }
 
+void closeEndedOccurrences(PoolState& state, JobEntry& job)
+{
+    if (job.spec.occurrences == 0)
+        return;
+    // A gang's members may have runs after its end.
+    const auto hasEnded = [](const StepState& step) {
+        return step.doneTasks == static_cast<int>(step.tasks.size())
+            && std::none_of(step.tasks.begin(), step.tasks.end(),
+                [](const TaskState& task) { return task.run.has_value(); });
+    };
+    const auto closed = std::erase_if(job.occurrences, [&](const auto& entry) {
+        const auto& [number, occurrence] = entry;
+        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(), hasEnded))
+            return false;
+        addRange(job.endedOccurrences, number, number);
+        return true;
+    });
+    if (closed > 0)
+        markChanged(state, job);
+}
+
 void placeRun(PoolState& state, VmState& vm, const TaskId& id, TaskState& task, RunState run)
 {
     auto& job = state.jobs.find(id.job)->second;
--- a/src/libscheduler/progress.cpp
+++ b/src/libscheduler/progress.cpp
@@ -16,13 +16,19 @@
 constexpr IntegerRange runNumberRange { 0, std::numeric_limits<std::uint32_t>::max() };
 constexpr IntegerRange crashCountRange { 0, 1'000'000 };
 
-/// Hexadecimal bitmap of the tasks that are done, four tasks per digit, lowest bit first.
-std::string encodeDoneBits(const StepState& step)
+/// Tasks of a step, from one index to another.
+struct IndexRange {
+    std::size_t first = 0;
+    std::size_t end = 0; ///< index after the last task
+};
+
+/// Hexadecimal bitmap of the tasks in the range that are done, four tasks per digit, lowest bit first.
+std::string encodeDoneBits(const StepState& step, IndexRange range)
 {
     static constexpr char digits[] = "0123456789abcdef";
-    std::string out((step.tasks.size() + bitsPerHexDigit - 1) / bitsPerHexDigit, '0');
-    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-        if (!step.tasks[i].done)
+    std::string out((range.end - range.first + bitsPerHexDigit - 1) / bitsPerHexDigit, '0');
+    for (std::size_t i = 0; i < range.end - range.first; ++i) {
+        if (!step.tasks[range.first + i].done)
             continue;
         char& digit = out[i / bitsPerHexDigit];
         const int value = digit <= '9' ? digit - '0' : digit - 'a' + 10;
@@ -31,11 +37,12 @@
     return out;
 }
 
-/// Returns false if a character is not a hexadecimal digit; the others are applied.
-bool decodeDoneBits(StepState& step, std::string_view digits)
+/// Applies a bitmap whose lowest bit is that of the task \p first. Returns false if a character is not a
+/// hexadecimal digit; the others are applied.
+bool decodeDoneBits(StepState& step, std::string_view digits, std::size_t first = 0)
 {
     bool isValid = true;
-    for (std::size_t i = 0; i < step.tasks.size() && i / bitsPerHexDigit < digits.size(); ++i) {
+    for (std::size_t i = 0; first + i < step.tasks.size() && i / bitsPerHexDigit < digits.size(); ++i) {
         const char digit = digits[i / bitsPerHexDigit];
         const bool isDecimal = digit >= '0' && digit <= '9';
         if (!isDecimal && !(digit >= 'a' && digit <= 'f')) {
@@ -43,9 +50,10 @@
             continue;
         }
         const int value = isDecimal ? digit - '0' : digit - 'a' + 10;
-        if (!(value & (1 << (i % bitsPerHexDigit))) || step.tasks[i].done)
+        auto& task = step.tasks[first + i];
+        if (!(value & (1 << (i % bitsPerHexDigit))) || task.done)
             continue;
-        step.tasks[i].done = true;
+        task.done = true;
         ++step.doneTasks;
     }
     return isValid;
@@ -62,43 +70,103 @@
     return EarlierRun { run.vm, run.vmBootTime, run.number, run.trial.count() > 0 && !run.isTrialShared };
 }
 
-json encodeOccurrence(int number, const OccurrenceState& occurrence)
-{
-    json done = json::array();
+/// Lists about single tasks in the record of an occurrence.
+struct TaskLists {
     json failed = json::array();
     json saved = json::array();
     json crashes = json::array();
     json sharedTrialCrashes = json::array();
     json atRisk = json::array();
+};
+
+void addToLists(TaskLists& lists, std::size_t step, std::size_t index, const TaskState& task)
+{
+    if (!task.failedRuns.empty())
+        lists.failed.push_back({ step, index, task.failedRuns });
+    if (!task.done && !task.checkpoint.empty())
+        lists.saved.push_back({ step, index, task.checkpoint });
+    if (!task.done && task.crashes > 0)
+        lists.crashes.push_back(
+            { step, index, task.crashes, task.trialCrashes, task.isSuspect, task.provenTrialCrashes });
+    if (!task.done && task.sharedTrialCrashes > 0)
+        lists.sharedTrialCrashes.push_back({ step, index, task.sharedTrialCrashes });
+    if (const auto run = runAtRisk(task))
+        lists.atRisk.push_back({ step, index, run->number, run->vm, run->vmBootTime, run->isOnTrial });
+}
+
+/// Adds the lists that are not empty to the record of an occurrence; returns whether there are any.
+bool moveLists(TaskLists& lists, json& out)
+{
+    const std::pair<const char*, json*> members[]
+        = { { "failed", &lists.failed }, { "saved", &lists.saved }, { "crashes", &lists.crashes },
+              { "sharedTrialCrashes", &lists.sharedTrialCrashes }, { "atRisk", &lists.atRisk } };
+    bool hasAny = false;
+    for (const auto& [name, list] : members) {
+        if (list->empty())
+            continue;
+        out[name] = std::move(*list);
+        hasAny = true;
+    }
+    return hasAny;
+}
+
+/// Tasks of a step that are in the range; \p first is the position of its first task.
+IndexRange intersect(const TaskRange& range, std::int64_t first, std::size_t tasks)
+{
+    const auto count = static_cast<std::int64_t>(tasks);
+    return { static_cast<std::size_t>(std::clamp<std::int64_t>(range.first - first, 0, count)),
+        static_cast<std::size_t>(std::clamp<std::int64_t>(range.end - first, 0, count)) };
+}
+
+/// Progress of those tasks of an occurrence that are in the range; null if a scheduled job has none to
+/// record. The done tasks are in "done", a bitmap a step, or in "doneFrom" if the range has only a part of
+/// the tasks.
+json encodeOccurrence(const JobEntry& job, int number, const OccurrenceState& occurrence,
+    std::int64_t occurrenceSize, TaskRange range)
+{
+    auto position = occurrenceSize * number;
+    const bool isWhole = range.first <= position && range.end >= position + occurrenceSize;
+    json out = { { "number", number } };
+    json done = json::array();
+    TaskLists lists;
+    bool hasDone = false;
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         const auto& step = occurrence.steps[s];
-        done.push_back(encodeDoneBits(step));
-        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-            const auto& task = step.tasks[i];
-            if (!task.failedRuns.empty())
-                failed.push_back({ s, i, task.failedRuns });
-            if (!task.done && !task.checkpoint.empty())
-                saved.push_back({ s, i, task.checkpoint });
-            if (!task.done && task.crashes > 0)
-                crashes.push_back(
-                    { s, i, task.crashes, task.trialCrashes, task.isSuspect, task.provenTrialCrashes });
-            if (!task.done && task.sharedTrialCrashes > 0)
-                sharedTrialCrashes.push_back({ s, i, task.sharedTrialCrashes });
-            if (const auto run = runAtRisk(task))
-                atRisk.push_back({ s, i, run->number, run->vm, run->vmBootTime, run->isOnTrial });
-        }
+        const auto indexes = intersect(range, position, step.tasks.size());
+        position += static_cast<std::int64_t>(step.tasks.size());
+        if (indexes.first >= indexes.end)
+            continue;
+        auto bits = encodeDoneBits(step, indexes);
+        const bool hasDoneTasks = bits.find_first_not_of('0') != std::string::npos;
+        hasDone = hasDone || hasDoneTasks;
+        if (isWhole)
+            done.push_back(std::move(bits));
+        else if (hasDoneTasks)
+            done.push_back({ s, indexes.first, std::move(bits) });
+        for (auto i = indexes.first; i < indexes.end; ++i)
+            addToLists(lists, s, i, step.tasks[i]);
+    }
+    const bool hasLists = moveLists(lists, out);
+    // Occurrences that are due begin again without a record.
+    if (!hasDone && !hasLists && (!isWhole || job.spec.occurrences > 0))
+        return nullptr;
+    out[isWhole ? "done" : "doneFrom"] = std::move(done);
+    return out;
+}
+
+/// Ranges of ended occurrences with a task in the range. An occurrence may be in several rows, each of which
+/// is then complete without the others.
+json encodeEnded(const JobEntry& job, std::int64_t occurrenceSize, TaskRange range)
+{
+    const auto first = range.first / occurrenceSize;
+    const auto last = (range.end - 1) / occurrenceSize;
+    json out = json::array();
+    for (const auto& [from, to] : job.endedOccurrences.ranges) {
+        const auto firstInRange = std::max<std::int64_t>(from, first);
+        const auto lastInRange = std::min<std::int64_t>(to, last);
+        if (firstInRange <= lastInRange)
+            out.push_back({ firstInRange, lastInRange });
     }
-    json out = { { "number", number }, { "done", done } };
-    if (!failed.empty())
-        out["failed"] = failed;
-    if (!saved.empty())
-        out["saved"] = saved;
-    if (!crashes.empty())
-        out["crashes"] = crashes;
-    if (!sharedTrialCrashes.empty())
-        out["sharedTrialCrashes"] = sharedTrialCrashes;
-    if (!atRisk.empty())
-        out["atRisk"] = atRisk;
     return out;
 }
 
@@ -196,11 +264,26 @@
     { "atRisk", 6, decodeRunAtRisk },
 };
 
+/// Applies a bitmap of done tasks with the numbers of its step and first task in front.
+bool decodePartOfDone(OccurrenceState& occurrence, const json& entry)
+{
+    constexpr std::size_t entrySize = 3;
+    const auto* first = taskAt(occurrence, entry, entrySize);
+    if (!first || !entry[2].is_string())
+        return false;
+    auto& step = occurrence.steps[entry[0].get<std::size_t>()];
+    return decodeDoneBits(step, entry[2].get_ref<const std::string&>(), entry[1].get<std::size_t>());
+}
+
 /// Returns false if a part of the record is malformed; the other parts are applied.
 bool decodeOccurrence(OccurrenceState& occurrence, const json& value)
 {
     RowFields fields(value);
-    const auto& done = fields.array("done");
+    const auto& done = fields.array("done", value.contains("doneFrom"));
+    for (const auto& entry : fields.array("doneFrom", true)) {
+        if (!decodePartOfDone(occurrence, entry))
+            fields.markInvalid();
+    }
     for (std::size_t s = 0; s < occurrence.steps.size() && s < done.size(); ++s) {
         if (!done[s].is_string()
             || !decodeDoneBits(occurrence.steps[s], done[s].get_ref<const std::string&>()))
@@ -216,19 +299,58 @@
     return fields.isValid();
 }
 
+/// Applies ranges of ended occurrences. Returns false if one is malformed; the others are applied.
+bool decodeEnded(JobEntry& job, const json& ranges)
+{
+    const IntegerRange numbers { 0, std::max(job.spec.occurrences, 1) - 1 };
+    bool isValid = true;
+    for (const auto& range : ranges) {
+        const bool isPair = range.is_array() && range.size() == 2;
+        const auto first = isPair ? integerIn(range[0], numbers) : std::nullopt;
+        const auto last = isPair ? integerIn(range[1], numbers) : std::nullopt;
+        if (!first || !last || *last < *first || job.spec.occurrences == 0) {
+            isValid = false;
+            continue;
+        }
+        addRange(job.endedOccurrences, static_cast<int>(*first), static_cast<int>(*last));
+        job.occurrences.erase(job.occurrences.lower_bound(static_cast<int>(*first)),
+            job.occurrences.upper_bound(static_cast<int>(*last)));
+    }
+    return isValid;
+}
+
+std::int64_t countTasks(const JobSpec& job)
+{
+    std::int64_t tasks = 0;
+    for (const auto& step : job.steps)
+        tasks += step.count;
+    return std::max<std::int64_t>(tasks, 1);
+}
+
 } // namespace
 
-std::string encodeProgress(const JobEntry& job)
+std::int64_t countPositions(const JobSpec& job) { return countTasks(job) * std::max(job.occurrences, 1); }
+
+std::string encodeProgress(const JobEntry& job, TaskRange range)
 {
+    json value = json::object();
+    if (range.first == 0)
+        value["state"] = nameOf(jobStateNames, job.state);
+    if (isFinal(job.state))
+        return value.empty() ? "" : value.dump();
+    const auto occurrenceSize = countTasks(job.spec);
     json occurrences = json::array();
-    for (const auto& [number, occurrence] : job.occurrences) {
-        if (!isFinal(job.state))
-            occurrences.push_back(encodeOccurrence(number, occurrence));
+    auto it = job.occurrences.lower_bound(static_cast<int>(range.first / occurrenceSize));
+    for (; it != job.occurrences.end() && it->first * occurrenceSize < range.end; ++it) {
+        auto occurrence = encodeOccurrence(job, it->first, it->second, occurrenceSize, range);
+        if (!occurrence.is_null())
+            occurrences.push_back(std::move(occurrence));
     }
-    json value = { { "state", nameOf(jobStateNames, job.state) } };
     if (!occurrences.empty())
-        value["occurrences"] = occurrences;
-    return value.dump();
+        value["occurrences"] = std::move(occurrences);
+    if (auto ended = encodeEnded(job, occurrenceSize, range); !ended.empty())
+        value["ended"] = std::move(ended);
+    return value.empty() ? "" : value.dump();
 }
 
 std::string encodeState(JobState state) { return json({ { "state", nameOf(jobStateNames, state) } }).dump(); }
@@ -244,12 +366,18 @@
     const auto value = parseJson(progress);
     if (!value.is_object())
         return false;
-    job.state = stateField(value);
+    if (value.contains("state")) // only the first row of a record has it
+        job.state = stateField(value);
     job.hasEarlierRuns = true;
     RowFields fields(value);
+    if (!decodeEnded(job, fields.array("ended", true)))
+        fields.markInvalid();
     for (const auto& entry : fields.array("occurrences", true)) {
         const auto number
             = RowFields(entry).integer("number", { 0, std::max(job.spec.occurrences, 1) - 1 }, -1);
+        // Another row of the record may be newer.
+        if (contains(job.endedOccurrences, static_cast<int>(number)))
+            continue;
         if (number < 0 || !decodeOccurrence(openOccurrence(job, static_cast<int>(number)), entry))
             fields.markInvalid();
     }
--- a/src/libscheduler/waiting_steps.cpp
+++ b/src/libscheduler/waiting_steps.cpp
@@ -50,8 +50,11 @@
 
 void openDueOccurrences(JobEntry& job, WallTime wallNow)
 {
-    while (job.nextOccurrence < job.spec.occurrences && dueAt(job, job.nextOccurrence) <= wallNow)
-        openOccurrence(job, job.nextOccurrence);
+    for (; job.nextOccurrence < job.spec.occurrences && dueAt(job, job.nextOccurrence) <= wallNow;
+         ++job.nextOccurrence) {
+        if (!contains(job.endedOccurrences, job.nextOccurrence))
+            openOccurrence(job, job.nextOccurrence);
+    }
 }
 
 bool isStepWaiting(const JobEntry& job, const OccurrenceState& occurrence, int step, bool hasUnknownRuns)
