--- a/testsuite/soak/checker.cpp
+++ b/testsuite/soak/checker.cpp
@@ -44,8 +44,10 @@
         reportViolation(name + " starts too long after its job was cancelled");
     for (const int dependency : job.spec.steps[static_cast<std::size_t>(task.step)].after) {
         const int required = job.spec.steps[static_cast<std::size_t>(dependency)].count;
-        const auto done = std::count_if(job.tasks.begin(), job.tasks.end(),
-            [&](const auto& entry) { return entry.first.step == dependency && entry.second.isDone; });
+        const auto done = std::count_if(job.tasks.begin(), job.tasks.end(), [&](const auto& entry) {
+            return entry.first.step == dependency && entry.first.occurrence == task.occurrence
+                && entry.second.isDone;
+        });
         if (done < required)
             reportViolation(name + " starts before step " + std::to_string(dependency) + " is done");
     }
@@ -124,7 +126,7 @@
         return;
     std::size_t required = 0;
     for (const auto& step : job.spec.steps)
-        required += static_cast<std::size_t>(step.count);
+        required += static_cast<std::size_t>(step.count * std::max(job.spec.occurrences, 1));
     const auto done = std::count_if(
         job.tasks.begin(), job.tasks.end(), [](const auto& entry) { return entry.second.isDone; });
     if (static_cast<std::size_t>(done) < required)
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -30,6 +30,17 @@
     schedule(time, [this, &node] { setRelay(node, nlohmann::json::object()); });
 }
 
+void Soak::silenceConnections()
+{
+    const bool isForAll = randomLimitBelow(2) == 0;
+    const auto chosen = static_cast<std::size_t>(randomLimitBelow(static_cast<int>(m_nodes.size())));
+    report("open connections of " + (isForAll ? "all nodes" : m_nodes[chosen].addresses.node) + " go silent");
+    for (const auto& node : m_nodes) {
+        if (isForAll || node.relay == chosen)
+            setRelay(node, { { "silencesConnections", true } });
+    }
+}
+
 void Soak::injectFault()
 {
     ++m_faultCount;
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -39,6 +39,13 @@
 constexpr milliseconds minTakeoverInterval { 1500 };
 constexpr int takeoverIntervalSpreadMs = 2500;
 constexpr int longTaskSpreadMs = 2000;
+constexpr int minOccurrences = 80;
+constexpr int minLargeStep = 60;
+constexpr std::size_t smallRowBytes = 2048;
+constexpr std::size_t largeRowBytes = 65'536;
+constexpr milliseconds largeJobInterval { 1500 };
+constexpr milliseconds minSilentConnectionsInterval { 2500 };
+constexpr int silentConnectionsSpreadMs = 5000;
 /// Longest lease of VMs in a run of the soak, one of two.
 constexpr milliseconds shortMaxLease { 6000 };
 constexpr milliseconds longMaxLease { 10000 };
@@ -72,6 +79,7 @@
     , m_silenceRandom(seed + 4)
     , m_lateRandom(seed + 6)
     , m_takeoverRandom(seed + 7)
+    , m_limitRandom(seed + 8)
     , m_options(options)
     , m_folder(std::move(folder))
     , m_platform(m_loop.base(), m_checker, seed + 1)
@@ -80,6 +88,8 @@
 {
     m_platform.setMaxLease(
         m_options.hasSilentVms && randomSilenceBelow(2) == 0 ? longMaxLease : shortMaxLease);
+    // In small rows the records of jobs fill them within the run.
+    m_platform.table().limits.rowBytes = randomLimitBelow(3) == 0 ? largeRowBytes : smallRowBytes;
     m_platform.setLateCheck(std::nullopt);
     m_platform.setLateAcrossBoots(m_options.isLateAcrossBoots);
     configure();
@@ -198,6 +208,31 @@
     submit(id, 1, false);
 }
 
+void Soak::submitLargeJob()
+{
+    auto id = std::to_string(m_largeJobCount++);
+    id.insert(0, 15 - id.size(), '0');
+    id.insert(0, 1, 'e');
+    auto& job = m_checker.jobs[id];
+    job.queue = m_queues[static_cast<std::size_t>(randomLimitBelow(static_cast<int>(m_queues.size())))];
+    const TaskBehaviour work { 10, 0, false, 50, 0 };
+    job.spec.id = id;
+    job.spec.spec = encodeBehaviour(work);
+    fleet::StepSpec step;
+    step.need.cpu = work.cpu;
+    step.estimate = milliseconds(work.milliseconds);
+    const bool isScheduled = randomLimitBelow(3) != 0;
+    step.count = isScheduled ? 1 : minLargeStep + randomLimitBelow(minLargeStep);
+    if (isScheduled) {
+        job.spec.occurrences = minOccurrences + randomLimitBelow(minOccurrences);
+        job.spec.period = milliseconds(5 + randomLimitBelow(20));
+        job.spec.firstDue
+            = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    }
+    job.spec.steps.push_back(step);
+    submit(id, 1, false);
+}
+
 void Soak::submit(const std::string& id, int attempt, bool mayBeStored)
 {
     const auto& job = m_checker.jobs.at(id);
@@ -346,8 +381,17 @@
         configs.startOnce(milliseconds(minConfigIntervalMs + randomConfigBelow(configIntervalSpreadMs)));
     });
     Timer probes(m_loop.base(), [this] { probeConfigs(); });
+    Timer largeJobs(m_loop.base(), [this] { submitLargeJob(); });
+    Timer silentConnections(m_loop.base(), [this, &silentConnections] {
+        silenceConnections();
+        silentConnections.startOnce(
+            minSilentConnectionsInterval + milliseconds(randomLimitBelow(silentConnectionsSpreadMs)));
+    });
     traffic.startPeriodic(jobInterval);
     probes.startPeriodic(probeInterval);
+    largeJobs.startPeriodic(largeJobInterval);
+    silentConnections.startOnce(
+        milliseconds(randomLimitBelow(silentConnectionsSpreadMs)) + minSilentConnectionsInterval);
     configs.startOnce(milliseconds(1000));
     faults.startOnce(milliseconds(2000));
     restarts.startOnce(milliseconds(2000));
@@ -357,6 +401,8 @@
         takeovers.startOnce(milliseconds(2000));
     m_loop.runUntil([] { return false; }, length);
     traffic.stop();
+    largeJobs.stop();
+    silentConnections.stop();
     faults.stop();
     configs.stop();
     restarts.stop();
@@ -379,9 +425,14 @@
         m_checker.reportViolation(
             "not all work has finished; active runs: " + std::to_string(m_checker.activeRunCount()));
     }
-    report(std::to_string(m_jobCount) + " jobs, " + std::to_string(m_checker.runCount) + " runs, "
-        + std::to_string(m_configChecker.newestVersion()) + " configurations, " + std::to_string(m_faultCount)
-        + " faults, " + std::to_string(m_checker.violations.size()) + " violations");
+    if (m_platform.table().rejectedCalls() > 0)
+        m_checker.reportViolation(std::to_string(m_platform.table().rejectedCalls())
+            + " calls exceeded a limit of the table, the last one with "
+            + m_platform.table().lastRejection());
+    report(std::to_string(m_jobCount + m_largeJobCount) + " jobs, " + std::to_string(m_checker.runCount)
+        + " runs, " + std::to_string(m_configChecker.newestVersion()) + " configurations, "
+        + std::to_string(m_faultCount) + " faults, " + std::to_string(m_checker.violations.size())
+        + " violations");
     return m_checker.violations.empty();
 }
 
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -60,6 +60,10 @@
     void probeConfigs();
     /// Limits the bandwidth between a node and the table for some seconds.
     void narrowLink();
+    /// Lets the open connections between nodes and the table go silent for good.
+    void silenceConnections();
+    /// Submits a scheduled job with more runs or more tasks than fit into a row of the table.
+    void submitLargeJob();
     /// Lets a VM restart or changes its capacity.
     void disturbVm();
     void restartVm(const std::string& machine);
@@ -107,6 +111,11 @@
     {
         return static_cast<int>(m_takeoverRandom() % static_cast<std::uint64_t>(limit));
     }
+    /// From a generator of its own for what fills the limits of the table, and for silent connections.
+    int randomLimitBelow(int limit)
+    {
+        return static_cast<int>(m_limitRandom() % static_cast<std::uint64_t>(limit));
+    }
     int randomBelow(int limit) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(limit)); }
     Node& randomNode()
     {
@@ -121,6 +130,7 @@
     std::mt19937_64 m_silenceRandom;
     std::mt19937_64 m_lateRandom;
     std::mt19937_64 m_takeoverRandom;
+    std::mt19937_64 m_limitRandom;
     SoakOptions m_options;
     std::string m_folder;
     std::chrono::steady_clock::time_point m_startTime = std::chrono::steady_clock::now();
@@ -138,6 +148,7 @@
     std::int64_t m_waveCount = 0;
     int m_jobCount = 0;
     int m_longJobCount = 0;
+    int m_largeJobCount = 0;
     int m_faultCount = 0;
 };
 
--- a/testsuite/standins/standin_relay.cpp
+++ b/testsuite/standins/standin_relay.cpp
@@ -69,6 +69,7 @@
     bufferevent* downstream = nullptr;
     bufferevent* upstream = nullptr;
     std::unique_ptr<Timer> delayTimer; ///< forwards delayed bytes when it fires
+    bool isSilent = false; ///< carries nothing any more, though both ends stay open
     ~ConnectionPair()
     {
         // libevent removes a freed connection from its group only later, when the group may be gone.
@@ -116,6 +117,13 @@
             m_limit->add(pair->upstream);
     }
 
+    /// Lets the open connections go silent for good. New ones work.
+    void silenceConnections()
+    {
+        for (const auto& pair : m_pairs)
+            pair->isSilent = true;
+    }
+
 private:
     static void onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument)
     {
@@ -144,8 +152,8 @@
         auto& pair = *static_cast<ConnectionPair*>(argument);
         auto& self = *pair.relay;
         auto* bytes = bufferevent_get_input(from);
-        const bool isDiscarded
-            = from == pair.downstream ? self.m_faults.losesRequests : self.m_faults.losesAnswers;
+        const bool isDiscarded = pair.isSilent
+            || (from == pair.downstream ? self.m_faults.losesRequests : self.m_faults.losesAnswers);
         if (isDiscarded)
             evbuffer_drain(bytes, evbuffer_get_length(bytes));
         if (self.m_faults.delay.count() == 0)
@@ -196,7 +204,8 @@
         const RelayFaults faults { body.value("cut", false), silent == "requests" || silent == "both",
             silent == "answers" || silent == "both", std::chrono::milliseconds(body.value("delayMs", 0)),
             body.value("bytesPerSecond", std::size_t { 0 }) };
-        relays.at(body.value("relay", 0U))->set(target, faults);
+        auto& relay = *relays.at(body.value("relay", 0U));
+        body.value("silencesConnections", false) ? relay.silenceConnections() : relay.set(target, faults);
         exchange->reply({ 200, {}, "{}" });
     });
     initializeLogging(LogLevel::Info, "relay");
