Close idle connections that may have gone silent with one that timed out

Cause: each of up to 64 idle connections cost a time-out of its own, one after the other. Ruled out: new connections work in the case, and no request waits for a free one. Change: after a time-out without a byte of response the idle connections to the address that have carried nothing since the request was sent are closed; one that has responded stays.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -89,10 +89,16 @@
         evhttp_connection* raw = nullptr;
         Address address;
     };
+    /// An open connection that carries no request.
+    struct IdleConnection {
+        evhttp_connection* raw = nullptr;
+        std::uint64_t usedAt = 0; ///< position of its last response in the order of sends and responses
+    };
     struct Attempt {
         Impl* client = nullptr;
         HttpAttemptId id = 0;
         Connection connection;
+        std::uint64_t sentAt = 0; ///< position in the order of sends and responses; 0: not sent
         evhttp_request* raw = nullptr;
         HttpRequest request; ///< until it is given to a connection
         evbuffer_cb_entry* outputCallback = nullptr; ///< sets hasSentBytes
@@ -112,7 +118,8 @@
     HttpLimits limits;
     HttpAttemptId nextId = 1;
     std::unordered_map<HttpAttemptId, std::unique_ptr<Attempt>> attempts;
-    std::map<Address, std::list<evhttp_connection*>> idle;
+    std::uint64_t lastEvent = 0; ///< position of the last send or response
+    std::map<Address, std::list<IdleConnection>> idle;
     std::map<Address, std::size_t> inUse; ///< connections that carry a request
     std::map<Address, std::deque<HttpAttemptId>> waiting; ///< attempts without a connection, oldest first
     std::set<Address> unsolicitedSenders; ///< addresses that have sent bytes without a request
@@ -141,7 +148,7 @@
         auto& impl = *static_cast<Impl*>(argument);
         for (auto& [address, connections] : impl.idle) {
             for (auto it = connections.begin(); it != connections.end(); ++it) {
-                if (*it != connection)
+                if (it->raw != connection)
                     continue;
                 connections.erase(it);
                 impl.discard(connection);
@@ -167,7 +174,7 @@
         if (found == idle.end())
             return nullptr;
         while (!found->second.empty()) {
-            auto* connection = found->second.back();
+            auto* connection = found->second.back().raw;
             found->second.pop_back();
             evhttp_connection_set_closecb(connection, nullptr, nullptr);
             auto* bev = evhttp_connection_get_bufferevent(connection);
@@ -199,7 +206,22 @@
             return;
         }
         evhttp_connection_set_closecb(connection.raw, onIdleClosed, this);
-        idleConnections.push_back(connection.raw);
+        idleConnections.push_back({ connection.raw, ++lastEvent });
+    }
+
+    /// Discards the idle connections to the address that have carried nothing since the attempt was sent.
+    /// Connections can go silent without a reset, all at once. Each of them would cost a time-out of its own.
+    void discardUnprovenConnections(const Attempt& attempt)
+    {
+        const auto found = idle.find(attempt.connection.address);
+        if (found == idle.end() || attempt.sentAt == 0)
+            return;
+        std::erase_if(found->second, [&](const IdleConnection& connection) {
+            if (connection.usedAt > attempt.sentAt)
+                return false;
+            discard(connection.raw);
+            return true;
+        });
     }
 
     static void onOutput(evbuffer*, const evbuffer_cb_info* info, void* argument)
@@ -243,6 +265,8 @@
     static void onTimeout(evutil_socket_t, short, void* argument)
     {
         auto& attempt = *static_cast<Attempt*>(argument);
+        if (attempt.receivedBytes == 0)
+            attempt.client->discardUnprovenConnections(attempt);
         attempt.client->finish(attempt.id,
             tl::make_unexpected(
                 HttpClientError { HttpFailure::Timeout, attempt.hasSentBytes, attempt.receivedBytes }),
@@ -354,8 +378,8 @@
     while (!m_impl->attempts.empty())
         cancel(m_impl->attempts.begin()->first);
     for (auto& [address, connections] : m_impl->idle) {
-        for (auto* connection : connections)
-            m_impl->discard(connection);
+        for (const auto& connection : connections)
+            m_impl->discard(connection.raw);
     }
     Impl::freeDiscarded(-1, 0, m_impl.get());
     event_free(m_impl->discardEvent);
@@ -400,6 +424,7 @@
     const auto& address = attempt.connection.address;
     const auto request = std::move(attempt.request);
     ++inUse[address];
+    attempt.sentAt = ++lastEvent;
     auto* connection = takeIdleConnection(address);
     const bool isReused = connection != nullptr;
     if (!connection)
@@ -447,8 +472,8 @@
     auto found = m_impl->idle.find(address);
     if (found == m_impl->idle.end())
         return;
-    for (auto* connection : found->second)
-        m_impl->discard(connection);
+    for (const auto& connection : found->second)
+        m_impl->discard(connection.raw);
     m_impl->idle.erase(found);
 }
 
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -374,3 +374,41 @@
     client.cancel(second);
     BOOST_TEST(loop.runUntil([&] { return endpoint.requests().size() == 3; }, 5s));
 }
+
+// Each idle connection that had gone silent cost a time-out of its own, so that a node with many of them was
+// away from the table for half a minute (review/3).
+BOOST_FIXTURE_TEST_CASE(connectionsThatGoSilentTogetherCostOneTimeout, ClientFixture)
+{
+    constexpr int connections = 6;
+    int silentConnections = 0; // of those accepted first
+    RawEndpoint endpoint(loop.base(), [&](const auto& connection, const std::string&) {
+        if (connection->index() >= silentConnections)
+            connection->send(okResponse);
+    });
+    int responses = 0;
+    for (int i = 0; i < connections; ++i)
+        client.send(endpoint.address(), { .path = "/x" }, 2s,
+            [&](const HttpResult& result) { responses += result.has_value(); });
+    BOOST_REQUIRE(loop.runUntil([&] { return responses == connections; }, 5s));
+    silentConnections = endpoint.connections();
+    BOOST_REQUIRE(silentConnections == connections);
+    BOOST_TEST(!send(endpoint, "/x", 100ms));
+    BOOST_TEST(send(endpoint, "/x", 100ms).has_value());
+}
+
+// A slow response shows nothing about connections that have carried another one meanwhile.
+BOOST_FIXTURE_TEST_CASE(timeoutKeepsConnectionsThatHaveResponded, ClientFixture)
+{
+    RawEndpoint endpoint(loop.base(), [&](const auto& connection, const std::string& request) {
+        if (request.find("/slow") == std::string::npos)
+            connection->send(okResponse);
+    });
+    std::optional<HttpResult> slow;
+    client.send(
+        endpoint.address(), { .path = "/slow" }, 100ms, [&](HttpResult result) { slow = std::move(result); });
+    BOOST_TEST(send(endpoint, "/x").has_value());
+    BOOST_REQUIRE(loop.runUntil([&] { return slow.has_value(); }, 5s));
+    BOOST_TEST(!slow->has_value());
+    BOOST_TEST(send(endpoint, "/x").has_value());
+    BOOST_TEST(endpoint.connections() == 2);
+}
