--- a/src/include/damaskworks/table_limits.h
+++ b/src/include/damaskworks/table_limits.h
@@ -24,7 +24,7 @@
     std::size_t maxRowBytes = defaultMaxRowBytes; ///< value of a row
     /// From here on a record is divided into several rows, of which only those that have changed are written.
     std::size_t dividedRowBytes = 16'384;
-    /// Call of a holder. A larger one would take longer than a commit may over a link of 10 Mbit/s.
+    /// Call of a holder. One of 1 MB takes most of the time that a commit may over a link of 10 Mbit/s.
     std::size_t maxBatchBytes = 262'144;
 };
 
