Read organisations, their keys and caps, and the bounds that go with them

Ruled out: a table of keys beside the configuration (two sources that can disagree); passing the organisation only in memory (a later holder needs it). Change: FleetConfig::organisations, Queue::isPublic, JobSpec::organisation in the job's row (rows without it stay readable), Codec::callerKey(), settings with the revocation time, the overshoot of caps, the slowdown away from data, the table's rates and whether admission is limited. Nothing acts on them yet.

--- a/src/include/damaskworks/adapter.h
+++ b/src/include/damaskworks/adapter.h
@@ -42,6 +42,8 @@
     virtual tl::expected<JobSpec, FormatError> decodeSubmission(std::string_view body) const = 0;
     /// How long the caller waits for a response; nothing if the request does not say or the value is invalid.
     virtual std::optional<milliseconds> callerDeadline(const HttpRequest& request) const = 0;
+    /// The key that the request carries; empty if it carries none.
+    virtual std::string_view callerKey(const HttpRequest& request) const = 0;
     virtual std::string encodeState(JobState state) const = 0;
     /// Encodes the number of jobs in a queue that have not ended.
     virtual std::string encodePending(std::size_t jobs) const = 0;
--- a/src/include/damaskworks/deployment.h
+++ b/src/include/damaskworks/deployment.h
@@ -33,6 +33,16 @@
     double cpuShare = 1; ///< cores that the process may use
     double linkMbps = 1000; ///< bandwidth of the node's network link
     std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
+    double tableReadsPerSecond = 0; ///< read calls that the table serves for all nodes; 0: not known
+    double tableWritesPerSecond = 0; ///< write calls that the table serves for all nodes; 0: not known
+    /// How long after its removal a key may still be accepted; zero: no bound.
+    milliseconds keyRevocationTime { 0 };
+    /// Part of its cap by which an organisation may exceed it.
+    double capOvershoot = 0;
+    /// Factor of a task's run time away from its data or from the other tasks of its step.
+    double farSlowdown = 1;
+    /// Whether callers may send more than the fleet can serve in time, so that nodes must refuse the excess.
+    bool limitsAdmission = false;
 };
 
 /// How the advice service responds to requests about the steps of a queue.
@@ -57,6 +67,7 @@
     milliseconds latencyTarget { 0 }; ///< constant part of the latency objective
     milliseconds timeout { 0 }; ///< longest duration of one request
     std::optional<AdviceSettings> advice; ///< if set, only VMs with a ticket may run the queue's steps
+    bool isPublic = false; ///< requests need no key, and its jobs belong to no organisation
 
     bool operator==(const Queue&) const = default;
 };
@@ -68,11 +79,23 @@
     bool enforcesCapacity = false; ///< the pool's VMs refuse tasks beyond their capacity
 };
 
+/// An organisation whose callers submit jobs.
+struct Organisation {
+    std::string name;
+    std::vector<std::string> keys; ///< secrets of its callers; they appear in no log, metric or error
+    int priority = 0; ///< 0 is the highest
+    double weight = 0; ///< share under shortage, and jobs a second that it is entitled to; 0: none is set
+    Resources cap; ///< most that its tasks may use in all pools together; 0: no limit
+
+    bool operator==(const Organisation&) const = default;
+};
+
 /// The configuration that operators write.
 struct FleetConfig {
     std::int64_t version = 0;
     std::vector<Queue> queues;
     std::map<std::string, Pool> pools;
+    std::map<std::string, Organisation, std::less<>> organisations; ///< by name
     std::size_t maxBodyBytes = 0;
     std::size_t maxHeaderBytes = 0;
 
--- a/src/include/damaskworks/job.h
+++ b/src/include/damaskworks/job.h
@@ -76,6 +76,7 @@
     std::string id;
     std::string queue;
     std::string pool; ///< pool of the queue at the time of acceptance
+    std::string organisation; ///< whose key submitted it; empty: a public queue's or an earlier version's
     std::string spec; ///< opaque, passed to the tasks; kept in a row of its own, see specBytes
     std::size_t specBytes = 0; ///< size of spec, known also before spec itself is loaded
     std::vector<StepSpec> steps;
--- a/src/include/damaskworks/job_directory.h
+++ b/src/include/damaskworks/job_directory.h
@@ -49,6 +49,7 @@
     std::string encodedJob; ///< the job as accepted, see encodeJob(); empty if its row has not been read
     std::string queue;
     std::string pool;
+    std::string organisation; ///< see JobSpec
     Version version = 0; ///< of the job's row
     bool cancelled = false;
     bool hasStateRow = false; ///< the holder of its pool has recorded a state
--- a/src/libfleet/caller_service_test.cpp
+++ b/src/libfleet/caller_service_test.cpp
@@ -50,6 +50,10 @@
         return job;
     }
     std::optional<milliseconds> callerDeadline(const HttpRequest&) const override { return 3000ms; }
+    std::string_view callerKey(const HttpRequest& request) const override
+    {
+        return http::header(request.headers, "Key").value_or(std::string_view());
+    }
     std::string encodeState(JobState) const override { return "{}"; }
     std::string encodePending(std::size_t) const override { return "{}"; }
     tl::expected<VmRegistration, FormatError> decodeVm(const TableRow&) const override
--- a/src/libfleet/job_directory.cpp
+++ b/src/libfleet/job_directory.cpp
@@ -58,6 +58,7 @@
         record.encodedJob = row.value;
         record.queue = job->queue;
         record.pool = job->pool;
+        record.organisation = job->organisation;
         record.version = row.version;
         return;
     }
--- a/src/libscheduler/job.cpp
+++ b/src/libscheduler/job.cpp
@@ -131,6 +131,7 @@
         steps.push_back(toJson(step));
     json value = { { "id", job.id }, { "queue", job.queue }, { "pool", job.pool }, { "steps", steps },
         { "attempts", job.maxAttempts }, { "acceptedAt", job.acceptedAt.count() } };
+    putUnlessDefault(value, "organisation", job.organisation);
     putUnlessDefault(value, "specBytes", job.specBytes);
     putUnlessDefault(value, "occurrences", job.occurrences);
     putUnlessDefault(value, "firstDue", job.firstDue.count());
@@ -146,6 +147,7 @@
     job.id = fields.text("id");
     job.queue = fields.text("queue");
     job.pool = fields.text("pool");
+    job.organisation = fields.text("organisation", "");
     job.specBytes = static_cast<std::size_t>(fields.integer("specBytes", anyCount, 0));
     job.maxAttempts = static_cast<int>(fields.integer("attempts", intRange));
     job.occurrences = static_cast<int>(fields.integer("occurrences", { 0, maxTasksPerJob }, 0));
--- a/src/libscheduler/stored_rows_test.cpp
+++ b/src/libscheduler/stored_rows_test.cpp
@@ -77,6 +77,10 @@
     const auto valid = encodeJob(makeScheduledJob());
     BOOST_REQUIRE(decodeJob(valid));
     BOOST_TEST(encodeJob(*decodeJob(valid)) == valid);
+    BOOST_TEST(decodeJob(valid)->organisation == ""); // as in the rows of earlier versions
+    auto ofOrganisation = makeScheduledJob();
+    ofOrganisation.organisation = "o";
+    BOOST_TEST(decodeJob(encodeJob(ofOrganisation))->organisation == "o");
     const std::vector<std::pair<std::string, std::string>> odd {
         { "/steps/0/count", "0" },
         { "/steps/0/count", "1000000000" },
