Check the keys of organisations before anything is done for a request

Change: authoriseCaller() decides for all verbs from the queue, the key and the age of the configuration after the request was read.

--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <damaskworks/adapter.h>
+#include <damaskworks/caller_authorisation.h>
 #include <damaskworks/clock.h>
 #include <damaskworks/job_directory.h>
 #include <damaskworks/loop.h>
@@ -32,14 +33,15 @@
     milliseconds maxConfigAge;
     const TableContact& tableContact;
     std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
+    milliseconds keyRevocationTime { 0 }; ///< see NodeSettings
 };
 
 /// Serves callers on any node. A job is accepted once its row is committed, whichever node will run it.
 class CallerService {
 public:
     explicit CallerService(CallerContext context);
-    /// Sets the current configuration; nullptr before there is one.
-    void setConfig(std::shared_ptr<const FleetConfig> config) { m_config = std::move(config); }
+    /// Sets the current configuration and its keys; nullptr before there is one.
+    void setConfig(std::shared_ptr<const FleetConfig> config, CallerKeys keys);
     /// Sets whether the directory has loaded all jobs.
     void setDirectoryLoaded(bool loaded) { m_directoryLoaded = loaded; }
     /// Handles one request and replies to it, at once or later.
@@ -50,7 +52,14 @@
 private:
     struct Call;
     using CallPointer = std::shared_ptr<Call>;
+    /// Decides whether the request may be handled; replies to it if not.
+    bool authorise(const CallPointer& call);
+    /// Whether the caller may access the job; replies to the request if not.
+    bool mayAccessOrReply(const CallPointer& call, const JobRecord& record);
+    void countRefusal(std::string_view reason);
     void submit(const CallPointer& call);
+    /// Replies to a submission whose job exists already.
+    void confirmKnownJob(const CallPointer& call);
     void commitJob(const CallPointer& call);
     /// The rows of the call's job.
     static TableTransaction jobTransaction(const Call& call);
@@ -70,6 +79,7 @@
 
     CallerContext m_context;
     std::shared_ptr<const FleetConfig> m_config;
+    CallerKeys m_keys; ///< of m_config
     bool m_directoryLoaded = false;
     std::size_t m_activeRequests = 0;
 };
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -38,12 +38,13 @@
     CallerAction action = CallerAction::Unsupported;
     std::string id;
     Queue queue;
+    CallerAuthorisation caller;
     TimePoint receivedAt {};
     TimePoint deadline {};
     JobSpec job;
     std::string part;
     int attempts = 0;
-    bool mayHaveCommitted = false; ///< an attempt had an unknown outcome
+    bool mayHaveCommitted = false; ///< an attempt had an unknown outcome, or the job's row exists
     std::unique_ptr<Timer> timer;
 };
 
@@ -52,6 +53,13 @@
 {
 }
 
+void CallerService::setConfig(std::shared_ptr<const FleetConfig> config, CallerKeys keys)
+{
+    m_config = std::move(config);
+    m_keys = std::move(keys);
+    m_context.metrics.gauge("caller_keys", static_cast<double>(m_keys.size()));
+}
+
 void CallerService::reply(const CallPointer& call, int status, std::string body, std::string_view outcome)
 {
     HttpResponse response { status, { { "Content-Type", "application/json" } }, std::move(body) };
@@ -64,8 +72,9 @@
     if (call->action != CallerAction::ReadState || status >= 400)
         logEvent(LogLevel::Info, "caller_answer",
             { { "method", call->exchange->request().method }, { "job", call->id },
-                { "queue", call->queue.name }, { "status", std::to_string(status) },
-                { "outcome", std::string(outcome) }, { "attempts", std::to_string(call->attempts) },
+                { "queue", call->queue.name }, { "organisation", call->caller.organisation },
+                { "status", std::to_string(status) }, { "outcome", std::string(outcome) },
+                { "attempts", std::to_string(call->attempts) },
                 { "config", std::to_string(m_config ? m_config->version : 0) },
                 { "config_age_ms", inMilliseconds(m_context.clock.now() - m_context.configCurrentAsOf()) },
                 { "ms", inMilliseconds(elapsed) } });
@@ -89,6 +98,8 @@
         return isConfigOutdated() ? refuseByOutdatedConfig(call)
                                   : reply(call, 404, errorBody("no such queue"), "no_queue");
     call->queue = *queue;
+    if (!authorise(call))
+        return;
     call->id = request.path.substr(queue->prefix.size());
     call->action = m_context.codec.action(request.method, call->id);
     auto requestTimeout = m_context.codec.callerDeadline(request).value_or(defaultDeadline);
@@ -117,6 +128,37 @@
     }
 }
 
+bool CallerService::authorise(const CallPointer& call)
+{
+    // The age is taken now, after the request was read: it was sent no later.
+    const auto configAge = m_context.clock.now() - m_context.configCurrentAsOf();
+    const auto key = m_context.codec.callerKey(call->exchange->request());
+    call->caller = authoriseCaller(*m_config, m_keys, call->queue, key, configAge,
+        { m_context.maxConfigAge, m_context.keyRevocationTime });
+    if (call->caller.isAllowed())
+        return true;
+    countRefusal(nameOf(callerAccessNames, call->caller.access));
+    if (call->caller.access == CallerAccess::UnknownKey)
+        reply(call, 401, errorBody("unknown key"), "unknown_key");
+    else
+        reply(call, 503, errorBody("the keys may be out of date"), "keys_outdated");
+    return false;
+}
+
+bool CallerService::mayAccessOrReply(const CallPointer& call, const JobRecord& record)
+{
+    if (mayAccess(call->caller, call->queue, record))
+        return true;
+    countRefusal("other_organisation");
+    reply(call, 403, errorBody("the job is another organisation's"), "other_organisation");
+    return false;
+}
+
+void CallerService::countRefusal(std::string_view reason)
+{
+    m_context.metrics.count("caller_access_refused_total{reason=\"" + std::string(reason) + "\"}");
+}
+
 bool CallerService::isConfigOutdated() const
 {
     return m_context.clock.now() - m_context.configCurrentAsOf() > m_context.maxConfigAge;
@@ -153,8 +195,11 @@
     const auto& body = call->exchange->request().body;
     if (m_config->maxBodyBytes > 0 && body.size() > m_config->maxBodyBytes)
         return reply(call, 413, errorBody("body too large"), "too_large");
-    if (m_context.directory.find(call->id))
-        return reply(call, 200, "{}", "known");
+    if (const auto* record = m_context.directory.find(call->id)) {
+        if (mayAccessOrReply(call, *record))
+            reply(call, 200, "{}", "known");
+        return;
+    }
     if (isConfigOutdated())
         return refuseByOutdatedConfig(call);
     auto job = m_context.codec.decodeSubmission(body);
@@ -165,6 +210,7 @@
     call->job.specBytes = call->job.spec.size();
     call->job.queue = call->queue.name;
     call->job.pool = call->queue.pool;
+    call->job.organisation = call->caller.organisation;
     call->job.maxAttempts = call->queue.maxAttempts;
     call->job.acceptedAt = std::chrono::duration_cast<WallTime>(m_context.clock.wallNow().time_since_epoch());
     if (const auto excess = findExcess(jobTransaction(*call), m_context.maxRowBytes); !excess.empty())
@@ -198,7 +244,7 @@
         return reply(call, 200, "{}", "accepted");
     // The row exists: an earlier attempt or an earlier request of the caller has written it.
     if (result.error() == TableFailure::Conflict)
-        return reply(call, 200, "{}", "known");
+        return confirmKnownJob(call);
     if (result.error() == TableFailure::Invalid)
         return reply(
             call, call->mayHaveCommitted ? 504 : 503, errorBody("the job can't be stored"), "invalid_row");
@@ -215,14 +261,32 @@
     retry(call, &CallerService::commitJob);
 }
 
+void CallerService::confirmKnownJob(const CallPointer& call)
+{
+    // All callers of a public queue may access all of its jobs.
+    if (call->caller.access == CallerAccess::Public)
+        return reply(call, 200, "{}", "known");
+    call->mayHaveCommitted = true;
+    readRecord(call, [this, call](const std::optional<JobRecord>& record) {
+        if (!record)
+            return reply(call, 504, errorBody("the job may have been accepted"), "outcome_unknown");
+        if (mayAccessOrReply(call, *record))
+            reply(call, 200, "{}", "known");
+    });
+}
+
 void CallerService::readState(const CallPointer& call)
 {
-    if (const auto* record = m_context.directory.find(call->id))
-        return reply(call, 200, m_context.codec.encodeState(record->visibleState()), "state");
+    if (const auto* record = m_context.directory.find(call->id)) {
+        if (mayAccessOrReply(call, *record))
+            reply(call, 200, m_context.codec.encodeState(record->visibleState()), "state");
+        return;
+    }
     readRecord(call, [this, call](const std::optional<JobRecord>& record) {
         if (!record)
             return reply(call, 410, errorBody("no such job"), "absent");
-        reply(call, 200, m_context.codec.encodeState(record->visibleState()), "state_read");
+        if (mayAccessOrReply(call, *record))
+            reply(call, 200, m_context.codec.encodeState(record->visibleState()), "state_read");
     });
 }
 
@@ -233,7 +297,8 @@
     m_context.table.read(std::string(jobTable), call->part, key, 1,
         [this, call, key, onRead = std::move(onRead)](TableResult<TableRows> rows) {
             if (!rows)
-                return reply(call, 503, errorBody("the table can't be read"), "table_unreachable");
+                return reply(call, call->mayHaveCommitted ? 504 : 503, errorBody("the table can't be read"),
+                    "table_unreachable");
             if (rows->rows.empty() || rows->rows.front().key != key)
                 return onRead(std::nullopt);
             JobDirectory singleJob;
@@ -246,6 +311,8 @@
 void CallerService::cancel(const CallPointer& call)
 {
     if (const auto* record = m_context.directory.find(call->id)) {
+        if (!mayAccessOrReply(call, *record))
+            return;
         if (record->cancelled || isFinal(record->state))
             return reply(call, 200, "{}", "ended");
         return commitCancellation(call);
@@ -253,7 +320,8 @@
     readRecord(call, [this, call](const std::optional<JobRecord>& record) {
         if (!record)
             return reply(call, 410, errorBody("no such job"), "absent");
-        commitCancellation(call);
+        if (mayAccessOrReply(call, *record))
+            commitCancellation(call);
     });
 }
 
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -70,7 +70,7 @@
     , m_adapter(openAdapter(plugin, loop, m_settings, clock, m_metrics, m_tableContact))
     , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
           [this] { return m_jobRows.currentAsOf(); }, [this] { return m_operatorRows.currentAsOf(); },
-          m_settings.configApplyTime, m_tableContact, m_settings.maxRowBytes })
+          m_settings.configApplyTime, m_tableContact, m_settings.maxRowBytes, m_settings.keyRevocationTime })
     , m_operatorRows(loop.base(), *m_adapter.table, clock, m_metrics,
           operatorTableSettings(*m_adapter.codec, m_settings), seed + 1)
     , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
@@ -215,11 +215,14 @@
     if (m_config && row.version <= m_configRowVersion)
         return;
     m_configRowVersion = row.version;
+    auto keys = CallerKeys::takeFrom(*config);
     m_config = std::make_shared<const FleetConfig>(std::move(*config));
     logEvent(LogLevel::Info, "config_applied",
         { { "version", std::to_string(m_config->version) },
-            { "queues", std::to_string(m_config->queues.size()) } });
-    m_callers.setConfig(m_config);
+            { "queues", std::to_string(m_config->queues.size()) },
+            { "organisations", std::to_string(m_config->organisations.size()) },
+            { "keys", std::to_string(keys.size()) } });
+    m_callers.setConfig(m_config, std::move(keys));
     updatePools();
     for (auto& [pool, holder] : m_holders)
         holder->applyConfig(*m_config);
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -192,9 +192,10 @@
             onSuccess();
             const bool hasChanges = !rows->rows.empty();
             m_isBehind = mayBeTruncated(*rows);
-            // A response without changes means that the table waited for the whole time.
+            // A response without changes means that the table waited for the whole time, unless it came too
+            // early for that.
             if (!hasChanges)
-                m_currentAsOf = sentAt + wait;
+                m_currentAsOf = m_clock.now() - sentAt < wait ? sentAt : sentAt + wait;
             else if (!m_settings.confirmsChanges && !m_isBehind)
                 m_currentAsOf = sentAt;
             m_needsReload = m_settings.readsRowsWhenBehind && hasSupersededRows(*rows);
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -232,3 +232,21 @@
     table.respond(TableRows { 1000, {} });
     BOOST_TEST(isFresh(follower, clock.now(), 2000ms));
 }
+
+// An empty response before the end of the wait shows only that there was no change when it was sent.
+BOOST_FIXTURE_TEST_CASE(responseBeforeTheEndOfTheWaitProvesNoTimeAhead, FollowerFixture)
+{
+    TableFollower follower(loop.base(), table, clock, metrics, { "op" }, 1);
+    write("1");
+    listen(follower);
+    table.respond(TableRows { 1, {} });
+    waitForRequest();
+    const auto sentAt = clock.now();
+    clock.advance(100ms);
+    table.respond(TableRows { 1, {} });
+    waitForRequest();
+    BOOST_TEST((follower.currentAsOf() == sentAt));
+    clock.advance(1700ms); // the response is late by 700 ms
+    table.respond(TableRows { 1, {} });
+    BOOST_TEST((follower.currentAsOf() == sentAt + 1100ms));
+}
