Decide by expected room, cost and objective whether a task waits for its rack

Cause: a task outside the rack of its data or group waited a fixed 0.4 s from its job's acceptance: too long for a hot rack, whose jobs all paid the wait and went elsewhere anyway, too short for one with room in half a second, and never in later steps. A group took the rack of whichever task started first, whether the others fitted there or not, and one task elsewhere slows all.

Ruled out: a longer or shorter fixed wait, and delay scheduling (Zaharia et al. 2010), since both know neither the rack's runs nor the job's objective; reserving the room, since others would wait for room that is free.

Change: decideLocality() compares the expected wait (ends of the rack's runs by progress and estimate, less what tasks in front were promised) with what the rack saves, keeps the boundary of the objective that a start elsewhere still meets, and bounds all waits of a task by 1 s. Groups get a rack for all their tasks, the smallest that holds them now or the first that will, or are spread. VMs are indexed by rack, so a step with a preferred rack no longer looks at all VMs. In force where the settings name a slowdown above 1, for queues without advice.

Before and after, in tests: of 32 tasks for a rack whose VM frees four places in 0.3 s, 28 start elsewhere in the first pass and 4 in the rack after 0.3 s; VMs looked at for a start beside a full rack are equal with 4 and 40 other racks. scheduler, planning_cost, loaded_holder, fleet, turn_replay, vm_restart and takeover_model tests pass.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -36,6 +36,7 @@
     /// Returns whether jobs and VMs are known well enough to start tasks.
     std::function<bool()> areViewsFresh;
     std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
+    double farSlowdown = 1; ///< see NodeSettings
 };
 
 /// Sends commands to the VMs of one pool and records what they report.
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -11,6 +11,7 @@
 #include <damaskworks/endpoint_control.h>
 #include <damaskworks/job.h>
 #include <damaskworks/load_sums.h>
+#include <damaskworks/locality_wait.h>
 #include <damaskworks/record_rows.h>
 #include <damaskworks/vm_room.h>
 #include <damaskworks/waiting_steps.h>
@@ -82,6 +83,7 @@
         = 0; ///< of trialCrashes, those where a later boot or another VM has responded since
     bool isSuspect = false; ///< may have caused a crash; its runs begin with a trial
     TimePoint waitsForTrialSince {}; ///< when a pass first found no VM for its trial; zero: it waits for none
+    TimePoint waitsForRackSince {}; ///< when a pass first left it waiting for a rack; zero: none has
     std::optional<EarlierRun> earlierRun; ///< not yet known whether it ended with a crash of its VM
     /// A VM has listed a run of the task as running to this holder, so no run of an earlier holder is
     /// unknown.
@@ -261,6 +263,10 @@
     /// move, registration), and the measured rate is that of the middle of the window.
     milliseconds forecastHorizon { 2400 };
     milliseconds preferredRackWait { 400 }; ///< how long a task waits for a VM in its preferred rack
+    /// Factor of a task's run time outside the rack of its data or group. If it is above 1, decideLocality()
+    /// replaces preferredRackWait for tasks that need no ticket.
+    double farSlowdown = 1;
+    milliseconds maxRackWait { 1000 }; ///< longest wait that decideLocality() allows a task
     milliseconds shortTrial { 250 }; ///< of a task that may have crashed one VM
     /// Of a task that has outlived short trials and may have crashed several VMs nevertheless.
     milliseconds longTrial { 10000 };
@@ -353,6 +359,7 @@
     std::map<std::string, TimePoint, std::less<>> removedVms;
     TimePoint earlierStartsUntil {}; ///< until then VMs may carry out starts of earlier holders
     std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
+    std::vector<LocalityPlacement> localityPlacements; ///< the same
     /// Room for long-running tasks that wait or have to leave their VM. Without it, shorter and smaller tasks
     /// take each bit of room that becomes free on a full VM.
     std::map<TaskId, ServingReservation> servingReservations;
--- a/src/include/damaskworks/vm_room.h
+++ b/src/include/damaskworks/vm_room.h
@@ -4,6 +4,7 @@
 
 #include <damaskworks/clock.h>
 #include <damaskworks/job.h>
+#include <damaskworks/locality_wait.h>
 
 #include <compare>
 #include <cstdint>
@@ -27,6 +28,7 @@
 struct IndexedRoom {
     RoomClass roomClass;
     std::int64_t freeCpu = 0; ///< that no run reserves, in thousandths of a core
+    std::string rack;
     bool operator==(const IndexedRoom&) const = default;
 };
 
@@ -38,6 +40,9 @@
     std::vector<Resources> failedNeeds;
     std::set<TimePoint> returnTimes; ///< at which VMs accept work again without an event
     TimePoint updatedAt {}; ///< of the last update
+    std::uint64_t passes = 0; ///< number of these updates, one for each planning pass
+    /// The same VMs by rack and id; none of the racks is empty.
+    std::map<std::string, std::map<std::string, VmOutlook>, std::less<>> racks;
 };
 
 } // namespace damask::fleet
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -311,7 +311,7 @@
     }
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
         *m_adapter.machines, *m_adapter.advice, m_directory, [this] { return areViewsFresh(); },
-        m_settings.maxRowBytes };
+        m_settings.maxRowBytes, m_settings.farSlowdown };
     m_holders[pool] = std::make_unique<PoolHolder>(
         context, pool, lease, m_leaseTiming, m_settings.maxLease, [this] { beginReadyHolders(); },
         [this, pool] { m_endedHolders.push_back(pool); });
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -1,3 +1,5 @@
+#include "locality_log_pvt.h"
+
 #include <damaskworks/job_timing.h>
 #include <damaskworks/log.h>
 #include <damaskworks/pool_holder.h>
@@ -109,6 +111,7 @@
     m_ledgerLimits = ledgerLimitsFor(context.maxRowBytes);
     m_state.limits.maxCheckpointBytes
         = std::min(m_state.limits.maxCheckpointBytes, context.maxRowBytes / maxEscapedLength);
+    m_state.limits.farSlowdown = context.farSlowdown;
     m_state.pool = std::move(pool);
     m_state.term = lease.row.term;
     m_state.fencingToken = m_ledger.fencingToken();
@@ -366,6 +369,7 @@
     raiseTokenIfRequired(vms, now);
     sendHeartbeats(vms, now);
     logRunEvents();
+    reportLocality(m_state, m_context.metrics);
     visitJobs();
     resumeRejectedRecords(now);
     removeEndedJobs();
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -321,11 +321,42 @@
 
 namespace {
 
-/// Whether computeScore() ranks the VMs by their utilisation alone.
+/// Whether computeScore() ranks the VMs of a rack by their utilisation alone.
 bool isRankedByUse(const StepSpec& step)
 {
-    return !step.sameRack && step.preferredRack.empty() && step.latencyTarget.count() == 0 && !step.filler
-        && !step.longRunning;
+    return step.latencyTarget.count() == 0 && !step.filler && !step.longRunning;
+}
+
+/// The better of two VMs for a task of the step.
+class BestVm {
+public:
+    void offer(VmState& vm, const Score& score)
+    {
+        if (m_vm && !(score < m_score))
+            return;
+        m_vm = &vm;
+        m_score = score;
+    }
+    VmState* vm() const { return m_vm; }
+    bool isOutsideRack() const { return m_vm && std::get<0>(m_score); }
+
+private:
+    VmState* m_vm = nullptr;
+    Score m_score;
+};
+
+/// The best of all VMs that can host the task.
+BestVm chooseFromAll(
+    PoolState& state, const JobEntry& job, const TaskId& id, const std::string& rack, TimePoint now)
+{
+    const auto& step = stepOf(job, id.step);
+    BestVm best;
+    state.work.vmChoices += state.vms.size();
+    for (auto& [name, vm] : state.vms) {
+        if (canStartOn(state, vm, job, id, now))
+            best.offer(vm, computeScore(state, vm, step, rack));
+    }
+    return best;
 }
 
 } // namespace
@@ -333,33 +364,45 @@
 VmState* chooseVm(PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now)
 {
     const auto& step = stepOf(job, id.step);
-    const bool requiresTicket = needsTicket(state, job);
     if (const auto own = state.servingReservations.find(id); own != state.servingReservations.end()) {
         auto& vm = state.vms.find(own->second.vm)->second;
         if (canStartOn(state, vm, job, id, now))
             return &vm;
     }
-    if (isRankedByUse(step) && !requiresTicket)
-        return findMostUsed(
-            state, reservedBy(step), [&](const VmState& vm) { return canHost(state, vm, step, id, now); });
+    if (!step.sameRack && step.preferredRack.empty())
+        return chooseAnywhere(state, job, id, now);
     const auto rack = step.sameRack ? siblingRack(state, job, id) : step.preferredRack;
-    VmState* best = nullptr;
-    Score bestScore;
-    state.work.vmChoices += state.vms.size();
-    for (auto& [name, vm] : state.vms) {
-        if (!canHost(state, vm, step, id, now)
-            || (requiresTicket && !hasTicket(stepAdvice(job, id), vm, now)))
-            continue;
-        const auto score = computeScore(state, vm, step, rack);
-        if (best && !(score < bestScore))
-            continue;
-        best = &vm;
-        bestScore = score;
-    }
+    const auto best = chooseFromAll(state, job, id, rack, now);
     // Outside the rack a task takes several times as long, so it first waits a short time for the rack.
-    if (best && std::get<0>(bestScore) && waited < state.limits.preferredRackWait)
+    if (best.isOutsideRack() && waited < state.limits.preferredRackWait)
         return nullptr;
-    return best;
+    return best.vm();
+}
+
+VmState* chooseAnywhere(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now)
+{
+    const auto& step = stepOf(job, id.step);
+    if (isRankedByUse(step) && !needsTicket(state, job))
+        return findMostUsed(
+            state, reservedBy(step), [&](const VmState& vm) { return canHost(state, vm, step, id, now); });
+    return chooseFromAll(state, job, id, "", now).vm();
+}
+
+VmState* chooseInRack(
+    PoolState& state, const JobEntry& job, const TaskId& id, const std::string& rack, TimePoint now)
+{
+    const auto vms = state.vmRoom.racks.find(rack);
+    if (vms == state.vmRoom.racks.end())
+        return nullptr;
+    const auto& step = stepOf(job, id.step);
+    BestVm best;
+    state.work.vmChoices += vms->second.size();
+    for (const auto& [name, outlook] : vms->second) {
+        auto& vm = state.vms.find(name)->second;
+        if (canStartOn(state, vm, job, id, now))
+            best.offer(vm, computeScore(state, vm, step, rack));
+    }
+    return best.vm();
 }
 
 bool canStillHost(
--- a/src/libscheduler/placement_choice_pvt.h
+++ b/src/libscheduler/placement_choice_pvt.h
@@ -11,6 +11,11 @@
 /// occurrence was due.
 VmState* chooseVm(
     PoolState& state, const JobEntry& job, const TaskId& id, milliseconds waited, TimePoint now);
+/// The same without regard to racks.
+VmState* chooseAnywhere(PoolState& state, const JobEntry& job, const TaskId& id, TimePoint now);
+/// The same among the VMs of a rack.
+VmState* chooseInRack(
+    PoolState& state, const JobEntry& job, const TaskId& id, const std::string& rack, TimePoint now);
 /// Whether a VM for which a run of the task is planned may still take it.
 bool canStillHost(
     const PoolState& state, const VmState& vm, const JobEntry& job, const TaskId& id, TimePoint now);
--- a/src/libscheduler/planning_index_test.cpp
+++ b/src/libscheduler/planning_index_test.cpp
@@ -105,14 +105,23 @@
             BOOST_TEST(group.memoryMb.size() == group.steps.size());
         }
         std::map<RoomClass, std::set<std::pair<std::int64_t, std::string>>> room;
+        std::set<std::pair<std::string, std::string>> racks;
         for (const auto& [id, vm] : state.vms) {
             if (mayAcceptWork(vm))
                 room[{ vm.entry.capacity.cpu, sizeClass(vm.entry.capacity.memoryMb - vm.used.memoryMb) }]
                     .emplace(vm.entry.capacity.cpu - vm.used.cpu, id);
+            if (mayAcceptWork(vm))
+                racks.emplace(vm.entry.rack, id);
             BOOST_TEST((!vm.trialTask || state.trialVms.contains(id)));
             BOOST_TEST((vm.orphanRuns.empty() || state.orphanVms.contains(id)));
         }
         BOOST_TEST((room == state.vmRoom.byClass));
+        for (const auto& [rack, vms] : state.vmRoom.racks) {
+            BOOST_TEST(!vms.empty());
+            for (const auto& [id, outlook] : vms)
+                BOOST_TEST(racks.erase({ rack, id }) == 1);
+        }
+        BOOST_TEST(racks.empty());
         for (const auto& [id, job] : state.jobs) {
             const bool isNoted = m_noted.contains(id) || (job.pendingReaders & visitsBit);
             BOOST_TEST((isNoted || (!job.dirty && !isFinal(job.state))), id << " is to be recorded");
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -5,6 +5,7 @@
 #include "placement_choice_pvt.h"
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
+#include "rack_choice_pvt.h"
 #include "serving_reservations_pvt.h"
 #include "vm_room_pvt.h"
 #include "waiting_steps_pvt.h"
@@ -73,7 +74,7 @@
     auto& occurrence = job.occurrences.at(waiting.occurrence);
     auto& step = occurrence.steps[static_cast<std::size_t>(waiting.step)];
     const bool hasUnknownRuns = mayHaveUnknownRuns(job, occurrence, waiting.step, blocks);
-    const auto waited = wallNow - dueAt(job, waiting.occurrence);
+    const auto locality = planLocality(state, job, waiting, now, wallNow);
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         auto& task = step.tasks[i];
         if (!isWaiting(task, hasUnknownRuns))
@@ -83,8 +84,12 @@
         const TaskId id { job.spec.id, waiting.occurrence, waiting.step, static_cast<int>(i) };
         if (blocks.orphanTasks.contains(id))
             continue;
-        auto* vm = task.isSuspect ? chooseTrialVm(state, job, id, TrialShare::Half, now)
-                                  : chooseVm(state, job, id, waited, now);
+        const auto choice = task.isSuspect
+            ? RackChoice { chooseTrialVm(state, job, id, TrialShare::Half, now) }
+            : chooseByLocality(state, locality, job, id, now, wallNow);
+        if (choice.waits)
+            continue;
+        auto* vm = choice.vm;
         if (!vm && task.isSuspect) {
             if (task.waitsForTrialSince == TimePoint {})
                 task.waitsForTrialSince = now;
@@ -102,6 +107,7 @@
                 addFailedNeed(state.vmRoom, reservedBy(stepOf(job, waiting.step)));
             return recordMissingTicket(state, job, waiting);
         }
+        recordLocality(state, locality, choice, id, now);
         out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint,
             trialLength(task, state.limits), now));
     }
@@ -131,7 +137,6 @@
     auto& occurrence = job.occurrences.at(waiting.occurrence);
     auto& step = occurrence.steps[static_cast<std::size_t>(waiting.step)];
     const bool hasUnknownRuns = mayHaveUnknownRuns(job, occurrence, waiting.step, blocks);
-    const auto waited = wallNow - dueAt(job, waiting.occurrence);
     std::uint32_t number = 0;
     std::string checkpoint;
     TaskId id { job.spec.id, waiting.occurrence, waiting.step, 0 };
@@ -144,6 +149,10 @@
             checkpoint = task.checkpoint;
     }
     const auto trial = gangTrialLength(step, state.limits);
+    const auto locality
+        = trial.count() > 0 ? StepLocality {} : planLocality(state, job, waiting, now, wallNow);
+    if (locality.waits)
+        return;
     const bool wasDirty = job.dirty;
     const bool hadUnrecordedTrial = job.hasUnrecordedTrial;
     std::vector<StartAction> starts;
@@ -151,7 +160,7 @@
     id.index = 0;
     for (auto& task : step.tasks) {
         auto* vm = trial.count() > 0 ? chooseTrialVm(state, job, id, TrialShare::Half, now)
-                                     : chooseVm(state, job, id, waited, now);
+                                     : chooseByLocality(state, locality, job, id, now, wallNow).vm;
         if (!vm)
             break;
         before.push_back({ vm, vm->lastStartAt, vm->trialTask, vm->reservedUntil });
@@ -159,6 +168,8 @@
         ++id.index;
     }
     if (starts.size() == step.tasks.size()) {
+        for (const auto& start : starts)
+            recordLocality(state, locality, { &state.vms.find(start.vm)->second }, start.command.task, now);
         out.insert(out.end(), starts.begin(), starts.end());
         return;
     }
--- a/src/libscheduler/vm_room.cpp
+++ b/src/libscheduler/vm_room.cpp
@@ -5,15 +5,33 @@
 #include <algorithm>
 
 namespace damask::fleet {
+namespace {
 
-void removeRoom(PoolState& state, VmState& vm)
+/// Removes the VM's entry from the index by free CPU; that of its rack remains.
+void removeFromClass(PoolState& state, VmState& vm)
 {
-    if (!vm.indexedRoom)
-        return;
     const auto vms = state.vmRoom.byClass.find(vm.indexedRoom->roomClass);
     vms->second.erase({ vm.indexedRoom->freeCpu, vm.entry.id });
     if (vms->second.empty())
         state.vmRoom.byClass.erase(vms);
+}
+
+void removeFromRack(PoolState& state, VmState& vm)
+{
+    const auto vms = state.vmRoom.racks.find(vm.indexedRoom->rack);
+    vms->second.erase(vm.entry.id);
+    if (vms->second.empty())
+        state.vmRoom.racks.erase(vms);
+}
+
+} // namespace
+
+void removeRoom(PoolState& state, VmState& vm)
+{
+    if (!vm.indexedRoom)
+        return;
+    removeFromClass(state, vm);
+    removeFromRack(state, vm);
     vm.indexedRoom.reset();
 }
 
@@ -31,10 +49,16 @@
     }
     const IndexedRoom room { { vm.entry.capacity.cpu,
                                  sizeClass(vm.entry.capacity.memoryMb - vm.used.memoryMb) },
-        vm.entry.capacity.cpu - vm.used.cpu };
+        vm.entry.capacity.cpu - vm.used.cpu, vm.entry.rack };
     if (vm.indexedRoom == room)
         return;
-    removeRoom(state, vm);
+    const bool isInRack = vm.indexedRoom && vm.indexedRoom->rack == room.rack;
+    if (isInRack)
+        removeFromClass(state, vm);
+    else
+        removeRoom(state, vm);
+    if (!isInRack)
+        state.vmRoom.racks[room.rack].try_emplace(vm.entry.id);
     state.vmRoom.byClass[room.roomClass].emplace(room.freeCpu, vm.entry.id);
     vm.indexedRoom = room;
 }
@@ -43,6 +67,7 @@
 {
     auto& room = state.vmRoom;
     room.updatedAt = now;
+    ++room.passes;
     for (const auto& id : takeChanged(state.changedVms, state.vms, ChangeReader::Planning)) {
         if (const auto vm = state.vms.find(id); vm != state.vms.end())
             updateRoom(state, vm->second);
