Ask the table as often as its rates and the number of nodes allow

Cause: each node polls three tables, up to 12.7 calls a second, whatever the number of nodes; 300 nodes ask for 3,800 reads a second of a table that serves 2,000, and repeat what is refused.

Refusals for overload slow what only informs, with jitter. Refused loads go on within what the fleet needs for the reads that each has left, and attempts at a lease are spread. Fleets whose polls fit into their part keep their pauses.

--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -8,6 +8,7 @@
 #include <damaskworks/loop.h>
 #include <damaskworks/machine_coordinator.h>
 #include <damaskworks/metrics.h>
+#include <damaskworks/node_polls.h>
 #include <damaskworks/pool_election.h>
 #include <damaskworks/pool_holder.h>
 #include <damaskworks/table_contact.h>
@@ -71,6 +72,8 @@
     /// acquiredVersion().
     void beginReadyHolders();
     void dropEndedHolders();
+    /// Tells the poll budget what this node holds.
+    void updateRole();
     /// Returns whether the node has what it needs to serve callers and to run pools.
     bool canServe() const;
     /// Returns whether the balancer should send callers to this node. This is stricter than canServe(): other
@@ -117,6 +120,7 @@
     TableFollower m_jobRows;
     TableFollower m_vmRows;
     PoolElection m_election;
+    NodePolls m_polls;
     HttpServer m_callerServer;
     HttpServer m_readyServer;
     HttpServer m_metricsServer;
--- a/src/include/damaskworks/pool_election.h
+++ b/src/include/damaskworks/pool_election.h
@@ -38,6 +38,8 @@
 
     /// Sets the pools that need a holder.
     void setPools(std::set<std::string> pools);
+    /// Sets the time over which the nodes spread their attempts, see electionWindow().
+    void setWindow(std::chrono::milliseconds window) { m_window = window; }
     /// Applies one changed row of the control table; ignores rows that are not leases.
     void applyRow(const TableRow& row);
     /// Applies all rows of the control table, newer versions only.
@@ -60,6 +62,7 @@
     NodeCapacity m_capacity;
     std::mt19937_64 m_random;
     LeaseTiming m_timing;
+    std::chrono::milliseconds m_window { 100 };
     Callbacks m_callbacks;
     Timer m_timer;
     std::set<std::string> m_pools;
--- a/src/include/damaskworks/pool_lease.h
+++ b/src/include/damaskworks/pool_lease.h
@@ -59,8 +59,9 @@
 };
 
 /// Returns how long a node waits before it tries to acquire a free lease. Nodes that hold fewer pools or have
-/// more capacity wait for a shorter time, which balances the pools over the nodes. \p jitter (0 to 1)
-/// separates nodes of equal load and capacity.
-std::chrono::milliseconds electionDelay(std::size_t heldPools, const NodeCapacity& node, double jitter);
+/// more capacity wait for a shorter time, which balances the pools over the nodes. \p jitter (0 to 1) times
+/// \p window separates nodes of equal load and capacity.
+std::chrono::milliseconds electionDelay(std::size_t heldPools, const NodeCapacity& node, double jitter,
+    std::chrono::milliseconds window = std::chrono::milliseconds(100));
 
 } // namespace damask::fleet
--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -5,6 +5,7 @@
 #include <damaskworks/clock.h>
 #include <damaskworks/loop.h>
 #include <damaskworks/metrics.h>
+#include <damaskworks/poll_pace.h>
 #include <damaskworks/shared_table.h>
 
 #include <deque>
@@ -31,6 +32,10 @@
     /// Follow each response that has rows with a request that does not wait, so that currentAsOf() is recent
     /// again at once.
     bool confirmsChanges = false;
+    std::chrono::milliseconds minInterval { 0 }; ///< see PollPace
+    /// Whether the rows only inform this node, so that it leaves the table to others while that is
+    /// overloaded.
+    bool yieldsWhenOverloaded = false;
 };
 
 /// Follows one table and passes changes to its listeners in order of version. If the table no longer keeps
@@ -50,10 +55,11 @@
     TableFollower& operator=(const TableFollower&) = delete;
     void setListeners(ResetListener onReset, ChangeListener onChange, BatchListener onBatch);
     void start();
-    void setPauseAfterChanges(std::chrono::milliseconds pauseAfterChanges)
-    {
-        m_settings.pauseAfterChanges = pauseAfterChanges;
-    }
+    /// Applies from the next request on.
+    void setPace(const PollPace& pace);
+    /// Sets the time in which each node can make one request, if they share the table equally; zero: not
+    /// known. Refused requests of a load are repeated within one turn for each part that is left to read.
+    void setTurn(std::chrono::milliseconds turn) { m_turn = turn; }
     bool isLoaded() const { return m_isLoaded; }
     /// Whether the last response may not have held all changes, as the first ones after an outage. Also true
     /// from the start of a load until a response after it: its pages are of different times.
@@ -77,6 +83,12 @@
     void applyChanges(const TableRows& rows);
     /// Makes the next request: of the load in progress, of a new one, or for changes.
     void runNext();
+    /// Makes the next request of a load: at once, unless the table was overloaded a short time ago.
+    void continueLoad(std::function<void()> step);
+    /// Time until a failed request is repeated.
+    std::chrono::milliseconds retryDelay(TableFailure failure);
+    /// Returns a random number from 0 to 1.
+    double random() { return std::uniform_real_distribution<>(0, 1)(m_random); }
     /// Schedules a retry with backoff. If \p needsReload, it reads all rows; a load goes on where it failed.
     void onFailure(TableFailure failure, bool needsReload);
     void onSuccess();
@@ -102,6 +114,8 @@
     bool m_needsReload = true;
     bool m_needsConfirmation = false; ///< the next request does not wait for changes
     int m_failures = 0; ///< since the last response
+    std::chrono::milliseconds m_restraint { 0 }; ///< see restraintAfterRefusal()
+    std::chrono::milliseconds m_turn { 0 };
     std::set<TableFailure> m_loggedFailures; ///< kinds of failure logged since the last response
     TimePoint m_lastContact {};
     TimePoint m_currentAsOf {};
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -11,13 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// Pause between requests for changes on a node that acts on the changes.
-constexpr milliseconds holderPause { 25 };
-/// Pause on a node that only reports job states to callers; it adds at most this delay to a state.
-constexpr milliseconds observerPause { 150 };
-/// Pause for leases and VM registrations, which change every few hundred milliseconds. Reading several
-/// changes at once does no harm.
-constexpr milliseconds controlTablePause { 250 };
 constexpr milliseconds loadTablePause { 50 };
 /// A holder starts no tasks if the table of jobs or that of VMs has not responded for this long. Requests for
 /// changes return within 1 s. A cancelled job's tasks must not start 3 s after the cancellation, and a VM
@@ -35,19 +28,21 @@
 constexpr milliseconds exitMargin { 500 };
 constexpr milliseconds stopCheckInterval { 50 };
 
-FollowSettings operatorTableSettings(const Codec& codec, const NodeSettings& settings)
+FollowSettings operatorTableSettings(const Codec& codec)
 {
     FollowSettings out;
     out.table = codec.operatorTable();
     out.readsRowsWhenBehind = true;
-    // Just before a response arrives, the configuration is as old as one wait and two response times. A
-    // quarter of the bound leaves room for the responses of a slow table.
-    constexpr int waitsPerApplyTime = 4;
-    out.maxWait = std::min(out.maxWait, settings.configApplyTime / waitsPerApplyTime);
     out.confirmsChanges = true;
     return out;
 }
 
+/// Settings of a table whose rows only inform a node; its pace comes from planPolls().
+FollowSettings informingTableSettings(std::string table, bool isPartitioned)
+{
+    return { .table = std::move(table), .isPartitioned = isPartitioned, .yieldsWhenOverloaded = true };
+}
+
 Adapter openAdapter(const AdapterPlugin& plugin, Loop& loop, const NodeSettings& settings, const Clock& clock,
     Metrics& metrics, TableContact& contact)
 {
@@ -71,14 +66,14 @@
     , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
           [this] { return m_jobRows.currentAsOf(); }, [this] { return m_operatorRows.currentAsOf(); },
           m_settings.configApplyTime, m_tableContact, m_settings.maxRowBytes })
-    , m_operatorRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          operatorTableSettings(*m_adapter.codec, m_settings), seed + 1)
+    , m_operatorRows(
+          loop.base(), *m_adapter.table, clock, m_metrics, operatorTableSettings(*m_adapter.codec), seed + 1)
     , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          { std::string(controlTable), true, controlTablePause }, seed + 2)
+          informingTableSettings(std::string(controlTable), true), seed + 2)
     , m_jobRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          { std::string(jobTable), true, observerPause }, seed + 3)
+          informingTableSettings(std::string(jobTable), true), seed + 3)
     , m_vmRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          { m_adapter.codec->vmTable(), false, controlTablePause }, seed + 4)
+          informingTableSettings(m_adapter.codec->vmTable(), false), seed + 4)
     , m_election(loop.base(), *m_adapter.table, clock, m_settings.node, m_session,
           NodeCapacity { m_settings.cpuShare, m_settings.linkMbps }, seed + 5, m_leaseTiming,
           { [this] { return canServe() && hasRecentContact(maxContactAgeToAcquire); },
@@ -87,6 +82,8 @@
                   return pool == coordinatorPool ? m_coordinator != nullptr : m_holders.contains(pool);
               },
               [this](const std::string& pool, const AcquiredLease& lease) { onLeaseAcquired(pool, lease); } })
+    , m_polls(loop.base(), *m_adapter.table, clock, m_metrics, m_settings,
+          { m_operatorRows, m_controlRows, m_jobRows, m_vmRows, m_election }, seed + 7)
     , m_callerServer(loop.base(), {},
           [this](std::shared_ptr<HttpExchange> exchange) { m_callers.handle(std::move(exchange)); })
     , m_readyServer(loop.base(), {},
@@ -123,6 +120,7 @@
         { { "callers", http::toString(m_settings.callers) }, { "data_centre", m_settings.dataCentre },
             { "table", http::toString(m_settings.table) }, { "session", m_session } });
     m_viewsChangedAt = m_clock.now();
+    m_polls.start();
     startFollowers();
     m_tickTimer.startPeriodic(tickInterval);
     return {};
@@ -146,10 +144,13 @@
         [this](const std::vector<TableRow>& rows) {
             m_election.reset(rows);
             m_fleetRows.reset(rows);
+            for (const auto& row : rows)
+                m_polls.applyRow(row);
         },
         [this](const TableRow& row) {
             m_election.applyRow(row);
             m_fleetRows.apply(row);
+            m_polls.applyRow(row);
         },
         [this] { onControlRowsApplied(); });
     m_directory.setListener([this](const std::string& id, const JobRecord& record) {
@@ -305,7 +306,7 @@
             *m_adapter.codec, m_fleetRows, m_settings.maxRowBytes };
         m_coordinator = std::make_unique<MachineCoordinator>(
             context, lease, m_leaseTiming, [this] { m_coordinatorEnded = true; });
-        m_controlRows.setPauseAfterChanges(holderPause);
+        updateRole();
         followLoads();
         return beginReadyHolders();
     }
@@ -315,7 +316,7 @@
     m_holders[pool] = std::make_unique<PoolHolder>(
         context, pool, lease, m_leaseTiming, m_settings.maxLease, [this] { beginReadyHolders(); },
         [this, pool] { m_endedHolders.push_back(pool); });
-    m_jobRows.setPauseAfterChanges(holderPause);
+    updateRole();
     beginReadyHolders();
 }
 
@@ -380,10 +381,13 @@
         m_coordinator.reset();
         m_loadRows.reset();
         m_coordinatorEnded = false;
-        m_controlRows.setPauseAfterChanges(controlTablePause);
     }
-    if (m_holders.empty())
-        m_jobRows.setPauseAfterChanges(observerPause);
+    updateRole();
+}
+
+void FleetNode::updateRole()
+{
+    m_polls.setRole({ !m_holders.empty(), m_coordinator != nullptr }, m_pools.size());
 }
 
 bool FleetNode::hasRecentContact(milliseconds maxAge) const
--- a/src/libfleet/pool_election.cpp
+++ b/src/libfleet/pool_election.cpp
@@ -75,7 +75,7 @@
 {
     // Attempts in progress count as held, so that this pool goes to a node that holds fewer pools.
     const auto held = m_callbacks.heldPools() + m_acquiring.size();
-    return lease.since + electionDelay(held, m_capacity, lease.jitter);
+    return lease.since + electionDelay(held, m_capacity, lease.jitter, m_window);
 }
 
 void PoolElection::updateFreeLeases(TimePoint now)
--- a/src/libfleet/pool_lease.cpp
+++ b/src/libfleet/pool_lease.cpp
@@ -15,7 +15,6 @@
 /// Longer than the interval at which nodes check leases, so that a node with fewer pools completes its
 /// attempt first.
 constexpr milliseconds delayPerHeldPool { 250 };
-constexpr milliseconds maxJitter { 100 };
 /// Delay of a node with one core; a node with a tenth of a core waits ten times as long.
 constexpr milliseconds delayAtOneCore { 30 };
 /// Delay of a node with a link of 1 Mbit/s. On large sites a holder's commands and reports take several
@@ -48,14 +47,15 @@
     return now - lease.changedAt >= timing.expiry;
 }
 
-milliseconds electionDelay(std::size_t heldPools, const NodeCapacity& node, double jitter)
+milliseconds electionDelay(
+    std::size_t heldPools, const NodeCapacity& node, double jitter, milliseconds window)
 {
     const auto capacityDelay
         = std::chrono::duration<double, std::milli>(delayAtOneCore) / std::max(node.cpuShare, 0.01)
         + std::chrono::duration<double, std::milli>(delayAtOneMbps) / std::max(node.linkMbps, 1.0);
     return std::chrono::duration_cast<milliseconds>(capacityDelay)
         + delayPerHeldPool * static_cast<int>(heldPools)
-        + std::chrono::duration_cast<milliseconds>(maxJitter * jitter);
+        + std::chrono::duration_cast<milliseconds>(window * jitter);
 }
 
 } // namespace damask::fleet
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t rowsPerPage = 500;
 constexpr milliseconds initialBackoff { 50 };
 constexpr milliseconds maxBackoff { 400 };
+/// Parts that a load is expected to read as long as they are not listed.
+constexpr std::size_t expectedParts = 32;
 /// The table ends a response at 1 MB, after Base64. Rows that nodes write hold at most 64 KB, so a response
 /// with less than this in values was not cut short.
 constexpr std::size_t minTruncatedBytes = 512 * 1024;
@@ -60,14 +62,30 @@
 
 void TableFollower::start() { scheduleNext(milliseconds(0)); }
 
+void TableFollower::setPace(const PollPace& pace)
+{
+    m_settings.pauseAfterChanges = pace.pauseAfterChanges;
+    m_settings.maxWait = pace.maxWait;
+    m_settings.minInterval = pace.minInterval;
+}
+
 void TableFollower::scheduleNext(milliseconds delay) { m_timer.startOnce(delay); }
 
+void TableFollower::continueLoad(std::function<void()> step)
+{
+    if (m_restraint == milliseconds(0))
+        return step();
+    m_loadStep = std::move(step);
+    scheduleNext(delayToNextPage(m_restraint, random()));
+}
+
 void TableFollower::onSuccess()
 {
     if (m_failures > 0)
         logEvent(LogLevel::Info, "table_back",
             { { "table", m_settings.table }, { "failures", std::to_string(m_failures) } });
     m_failures = 0;
+    m_restraint = restraintAfterResponse(m_restraint);
     m_loggedFailures.clear();
     m_lastContact = m_clock.now();
 }
@@ -82,9 +100,23 @@
     m_metrics.count("table_follow_failures_total{table=\"" + m_settings.table + "\",failure=\""
         + std::string(nameOf(tableFailureNames, failure)) + "\"}");
     m_needsReload = m_needsReload || needsReload || m_settings.readsRowsWhenBehind;
+    scheduleNext(retryDelay(failure));
+}
+
+milliseconds TableFollower::retryDelay(TableFailure failure)
+{
     const auto backoff = std::min(maxBackoff, initialBackoff * (1 << std::min(m_failures, 5)));
     ++m_failures;
-    scheduleNext(backoff / 2 + milliseconds(m_random() % static_cast<std::uint64_t>(backoff.count())));
+    const auto delay = backoff / 2 + milliseconds(m_random() % static_cast<std::uint64_t>(backoff.count()));
+    if (failure != TableFailure::Overloaded || !m_settings.yieldsWhenOverloaded)
+        return delay;
+    m_restraint = restraintAfterRefusal(m_restraint);
+    milliseconds window { 0 };
+    if (m_loadStep) {
+        const bool isListed = m_partsToRead.empty() || !m_partsToRead.back().empty();
+        window = loadRetryWindow(isListed ? m_partsToRead.size() + 1 : expectedParts, m_turn);
+    }
+    return std::max(delay, delayAfterRefusal(m_restraint, window, random()));
 }
 
 void TableFollower::runNext()
@@ -129,7 +161,7 @@
             for (auto& row : rows->rows)
                 m_loadedRows.push_back(std::move(row));
             if (hasMorePages)
-                return readPart(part, lastKey + '\x01');
+                return continueLoad([this, part, lastKey] { readPart(part, lastKey + '\x01'); });
             readNextPart();
         });
 }
@@ -140,7 +172,7 @@
         return finishLoad();
     const auto part = m_partsToRead.front();
     m_partsToRead.pop_front();
-    part.empty() ? listParts("") : readPart(part, "");
+    continueLoad([this, part] { part.empty() ? listParts("") : readPart(part, ""); });
 }
 
 void TableFollower::listParts(const std::string& after)
@@ -159,7 +191,7 @@
                     m_partsToRead.push_back(name);
             }
             if (names->size() >= namesPerPage)
-                return listParts(names->back());
+                return continueLoad([this, last = names->back()] { listParts(last); });
             readNextPart();
         });
 }
@@ -200,7 +232,13 @@
             m_needsReload = m_settings.readsRowsWhenBehind && hasSupersededRows(*rows);
             m_needsConfirmation = m_isBehind || (hasChanges && m_settings.confirmsChanges);
             applyChanges(*rows);
-            scheduleNext(hasChanges && !m_isBehind ? m_settings.pauseAfterChanges : milliseconds(0));
+            const PollPace pace { m_settings.pauseAfterChanges, m_settings.maxWait, m_settings.minInterval };
+            if (m_isBehind)
+                return scheduleNext(milliseconds(0));
+            if (m_needsReload || m_needsConfirmation)
+                return scheduleNext(hasChanges ? pace.pauseAfterChanges : milliseconds(0));
+            const auto sinceSent = std::chrono::duration_cast<milliseconds>(m_clock.now() - sentAt);
+            scheduleNext(delayToNextPoll(pace, m_restraint, sinceSent, hasChanges, random()));
         });
 }
 
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -192,6 +192,44 @@
     BOOST_TEST(!follower.isBehind());
 }
 
+// A refused node must not ask again at once, although it would after any other failure.
+BOOST_FIXTURE_TEST_CASE(refusalsForOverloadDelayRequestsUntilTheTableResponds, FollowerFixture)
+{
+    TableFollower follower(
+        loop.base(), table, clock, metrics, { .table = "jobs", .yieldsWhenOverloaded = true }, 1);
+    listen(follower);
+    const auto timeToRequest = [this] {
+        const auto begunAt = std::chrono::steady_clock::now();
+        waitForRequest();
+        return std::chrono::steady_clock::now() - begunAt;
+    };
+    constexpr int refusals = 3; // restraints of 100, 200 and 400 ms, each spread by half
+    for (int i = 0; i < refusals; ++i) {
+        table.respond(tl::make_unexpected(TableFailure::Overloaded));
+        timeToRequest();
+    }
+    table.respond(TableRows { 1, {} });
+    BOOST_TEST((timeToRequest() >= 150ms)); // half of what is left of 400 ms
+    table.respond(tl::make_unexpected(TableFailure::Overloaded));
+    BOOST_TEST((timeToRequest() >= 300ms)); // half of twice that
+}
+
+BOOST_FIXTURE_TEST_CASE(requestsKeepTheIntervalOfALargeFleet, FollowerFixture)
+{
+    TableFollower follower(loop.base(), table, clock, metrics, { "jobs" }, 1);
+    follower.setPace({ 0ms, 100ms, 80ms });
+    listen(follower);
+    BOOST_TEST(table.followWait.count() == 0); // the first one confirms the load
+    for (const bool hasChanges : { false, true, false }) {
+        const auto answeredAt = std::chrono::steady_clock::now();
+        table.respond(hasChanges ? TableRows { 2, { { "", "key", "x", 2 } } } : TableRows { 2, {} });
+        waitForRequest();
+        // The manual clock stands still, so that the whole interval is left, less an eighth.
+        BOOST_TEST((std::chrono::steady_clock::now() - answeredAt >= 70ms));
+        BOOST_TEST(table.followWait.count() == 100);
+    }
+}
+
 // A node that started while the table refused a part of its calls began its load again with the first row
 // each time, and never ended it.
 BOOST_FIXTURE_TEST_CASE(loadGoesOnWhereARequestFailed, FollowerFixture)
