Refuse jobs that can't be served in time, an organisation's excess first

Ruled out: thresholds on the rate of the last second and on the wait. Decisions by the holder, and counters in the table: a call or a write for each submission. Change: where the settings limit admission, FleetWorkload keeps sums of what waits, runs and completes and a leaky bucket for each organisation from the rows that each node follows anyway; decideAdmission() answers 429 with a spread Retry-After before anything is written. Near its limits it accepts a part at random. Long-running and scheduled jobs, and known ones, are always accepted.

--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <damaskworks/adapter.h>
+#include <damaskworks/admission.h>
 #include <damaskworks/caller_authorisation.h>
 #include <damaskworks/clock.h>
 #include <damaskworks/job_directory.h>
@@ -34,6 +35,7 @@
     const TableContact& tableContact;
     std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
     milliseconds keyRevocationTime { 0 }; ///< see NodeSettings
+    AdmissionControl* admission = nullptr; ///< decides about submissions; nullptr: all are accepted
 };
 
 /// Serves callers on any node. A job is accepted once its row is committed, whichever node will run it.
@@ -72,6 +74,8 @@
     void retry(const CallPointer& call, void (CallerService::*operation)(const CallPointer&));
     bool hasTimeLeft(const Call& call) const;
     bool isConfigOutdated() const;
+    /// Whether the directory may be used to count jobs.
+    bool isDirectoryRecent() const;
     void refuseByOutdatedConfig(const CallPointer& call);
     milliseconds attemptTimeout(const Call& call) const;
     /// Replies, and logs and counts the response. \p outcome goes into the log only.
--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -111,6 +111,7 @@
     bool m_coordinatorEnded = false;
     std::map<std::string, std::unique_ptr<PoolHolder>> m_holders;
     std::vector<std::string> m_endedHolders;
+    std::unique_ptr<AdmissionControl> m_admission; ///< nullptr where admission is not limited
     CallerService m_callers;
     TableFollower m_operatorRows;
     TableFollower m_controlRows;
--- a/src/include/damaskworks/job_directory.h
+++ b/src/include/damaskworks/job_directory.h
@@ -2,11 +2,13 @@
 /// Tables and keys of the rows of jobs, and a directory of all jobs: accepted, cancelled and their states.
 #pragma once
 
+#include <damaskworks/fleet_workload.h>
 #include <damaskworks/job.h>
 #include <damaskworks/shared_table.h>
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -50,6 +52,7 @@
     std::string queue;
     std::string pool;
     std::string organisation; ///< see JobSpec
+    JobWork work;
     Version version = 0; ///< of the job's row
     bool cancelled = false;
     bool hasStateRow = false; ///< the holder of its pool has recorded a state
@@ -66,6 +69,8 @@
     using Listener = std::function<void(const std::string& id, const JobRecord& record)>;
     /// Sets a listener that is called for each job accepted or cancelled.
     void setListener(Listener listener) { m_listener = std::move(listener); }
+    /// Keeps \p workload up to date with the jobs, from the next reset() on.
+    void setWorkload(FleetWorkload* workload) { m_workload = workload; }
     /// Replaces everything by \p rows.
     void reset(const std::vector<TableRow>& rows);
     /// Applies one changed row.
@@ -81,6 +86,8 @@
 
 private:
     void applyTo(JobRecord& record, const TableRow& row);
+    /// Tells the workload what has happened to a job; \p before is its state until then, if it was accepted.
+    void recordChange(const JobRecord& record, std::optional<JobState> before);
     /// Adds \p amount (1 or -1) to the counts that include \p record.
     void updateCounts(const JobRecord& record, int amount);
 
@@ -88,6 +95,8 @@
     std::map<std::string, std::size_t, std::less<>> m_pending; ///< number of queued jobs by queue
     std::map<std::string, std::size_t> m_unfinished; ///< number of jobs by pool
     Listener m_listener;
+    FleetWorkload* m_workload = nullptr;
+    bool m_isReset = false; ///< rows are being replaced: they tell nothing about rates
 };
 
 } // namespace damask::fleet
--- a/src/include/damaskworks/job_timing.h
+++ b/src/include/damaskworks/job_timing.h
@@ -19,11 +19,16 @@
     { Timeliness::Overdue, "overdue" },
 } };
 
+/// Multiple of its objective after which a job is overdue instead of late.
+inline constexpr int overdueFactor = 3;
+
 /// Due time of an occurrence. A job that is not scheduled is due when it is accepted.
 WallTime dueAt(const JobEntry& job, int occurrence);
 /// Time from dueAt() until the job should have ended: the critical path, stretched and extended as the queue
 /// sets it. With nullptr for \p queue it is the critical path alone.
 milliseconds objectiveDuration(const JobEntry& job, const Queue* queue);
+/// The same for a job of \p queue with this critical path.
+milliseconds objectiveDuration(milliseconds criticalPath, const Queue& queue);
 /// Compares the time \p took, counted from dueAt(), with the objective.
 Timeliness timelinessOf(milliseconds took, milliseconds objective);
 /// Timeliness of an occurrence if all its tasks that are not done started at \p wallNow. \p queue may be
--- a/src/libfleet/caller_fakes_test.h
+++ b/src/libfleet/caller_fakes_test.h
@@ -47,12 +47,13 @@
         return method == "DELETE" ? CallerAction::Cancel : CallerAction::Submit;
     }
     std::size_t stepCount = 1;
+    StepSpec step; ///< each of the steps
     std::string spec;
 
     tl::expected<JobSpec, FormatError> decodeSubmission(std::string_view) const override
     {
         JobSpec job;
-        job.steps.resize(stepCount);
+        job.steps.assign(stepCount, step);
         job.spec = spec;
         return job;
     }
@@ -97,12 +98,14 @@
     FakeCodec codec;
     JobDirectory directory;
     Duration configAge {};
+    Duration directoryAge {};
+    AdmissionControl admission { clock, metrics, 1 };
     CallerService service;
 
-    explicit CallerFixture(milliseconds keyRevocationTime = 0ms)
-        : service({ loop.base(), clock, metrics, table, codec, directory, [this] { return clock.now(); },
-            [this] { return clock.now() - configAge; }, 3000ms, contact, defaultMaxRowBytes,
-            keyRevocationTime })
+    explicit CallerFixture(milliseconds keyRevocationTime = 0ms, bool limitsAdmission = false)
+        : service({ loop.base(), clock, metrics, table, codec, directory,
+            [this] { return clock.now() - directoryAge; }, [this] { return clock.now() - configAge; }, 3000ms,
+            contact, defaultMaxRowBytes, keyRevocationTime, limitsAdmission ? &admission : nullptr })
     {
         recordContact(contact, clock.now());
         FleetConfig config;
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -46,6 +46,7 @@
     int attempts = 0;
     bool mayHaveCommitted = false; ///< an attempt had an unknown outcome, or the job's row exists
     std::unique_ptr<Timer> timer;
+    std::optional<std::chrono::seconds> retryAfter; ///< of a refusal; nothing: as the table's contact says
 };
 
 CallerService::CallerService(CallerContext context)
@@ -64,12 +65,16 @@
 {
     HttpResponse response { status, { { "Content-Type", "application/json" } }, std::move(body) };
     if (status == 429 || status == 503)
-        response.headers.emplace_back(
-            "Retry-After", std::to_string(retryAfter(m_context.tableContact, m_context.clock.now()).count()));
+        response.headers.emplace_back("Retry-After",
+            std::to_string(
+                call->retryAfter.value_or(retryAfter(m_context.tableContact, m_context.clock.now()))
+                    .count()));
     const auto elapsed = m_context.clock.now() - call->receivedAt;
     m_context.metrics.count("caller_answers_total{status=\"" + std::to_string(status) + "\"}");
     m_context.metrics.observe("caller_answer_seconds", elapsed);
-    if (call->action != CallerAction::ReadState || status >= 400)
+    // The admission writes lines of its own, at a bounded rate.
+    const bool isLogged = call->action != CallerAction::ReadState || status >= 400;
+    if (isLogged && status != 429)
         logEvent(LogLevel::Info, "caller_answer",
             { { "method", call->exchange->request().method }, { "job", call->id },
                 { "queue", call->queue.name }, { "organisation", call->caller.organisation },
@@ -119,7 +124,7 @@
             return refuseByOutdatedConfig(call);
         if (!m_directoryLoaded)
             return reply(call, 503, errorBody("jobs are not loaded yet"), "not_loaded");
-        if (m_context.clock.now() - m_context.directoryCurrentAsOf() > maxCountAge)
+        if (!isDirectoryRecent())
             return reply(call, 503, errorBody("the count is out of date"), "stale");
         return reply(
             call, 200, m_context.codec.encodePending(m_context.directory.pendingJobs(queue->name)), "count");
@@ -159,6 +164,11 @@
     m_context.metrics.count("caller_access_refused_total{reason=\"" + std::string(reason) + "\"}");
 }
 
+bool CallerService::isDirectoryRecent() const
+{
+    return m_context.clock.now() - m_context.directoryCurrentAsOf() <= maxCountAge;
+}
+
 bool CallerService::isConfigOutdated() const
 {
     return m_context.clock.now() - m_context.configCurrentAsOf() > m_context.maxConfigAge;
@@ -217,6 +227,10 @@
         return reply(call, 413, errorBody("the job can't be stored: " + excess), "too_large");
     if (isUnreachable(m_context.tableContact, m_context.clock.now()))
         return reply(call, 503, errorBody("the table can't be reached"), "table_lost");
+    if (m_context.admission && isDirectoryRecent())
+        call->retryAfter = m_context.admission->refuse(call->job, *m_config, call->queue);
+    if (call->retryAfter)
+        return reply(call, 429, errorBody("the job can't be served in time"), "not_admitted");
     commitJob(call);
 }
 
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -68,9 +68,12 @@
     , m_seed(seed)
     , m_session(m_settings.node + "-" + std::to_string(seed))
     , m_adapter(openAdapter(plugin, loop, m_settings, clock, m_metrics, m_tableContact))
+    , m_admission(m_settings.limitsAdmission ? std::make_unique<AdmissionControl>(clock, m_metrics, seed + 7)
+                                             : nullptr)
     , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
           [this] { return m_jobRows.currentAsOf(); }, [this] { return m_operatorRows.currentAsOf(); },
-          m_settings.configApplyTime, m_tableContact, m_settings.maxRowBytes, m_settings.keyRevocationTime })
+          m_settings.configApplyTime, m_tableContact, m_settings.maxRowBytes, m_settings.keyRevocationTime,
+          m_admission.get() })
     , m_operatorRows(loop.base(), *m_adapter.table, clock, m_metrics,
           operatorTableSettings(*m_adapter.codec, m_settings), seed + 1)
     , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
@@ -152,6 +155,8 @@
             m_fleetRows.apply(row);
         },
         [this] { onControlRowsApplied(); });
+    if (m_admission)
+        m_directory.setWorkload(&m_admission->workload());
     m_directory.setListener([this](const std::string& id, const JobRecord& record) {
         const auto holder = m_holders.find(record.pool);
         if (holder != m_holders.end())
@@ -223,6 +228,8 @@
             { "organisations", std::to_string(m_config->organisations.size()) },
             { "keys", std::to_string(keys.size()) } });
     m_callers.setConfig(m_config, std::move(keys));
+    if (m_admission)
+        m_admission->setConfig(*m_config);
     updatePools();
     for (auto& [pool, holder] : m_holders)
         holder->applyConfig(*m_config);
--- a/src/libfleet/job_directory.cpp
+++ b/src/libfleet/job_directory.cpp
@@ -44,6 +44,19 @@
     // A cancelled job is unfinished until its holder has stopped its tasks and recorded its end.
     if (!isFinal(record.state))
         m_unfinished[record.pool] += static_cast<std::size_t>(amount);
+    if (m_workload)
+        m_workload->count(
+            record.pool, record.queue, record.organisation, record.visibleState(), record.work, amount);
+}
+
+void JobDirectory::recordChange(const JobRecord& record, std::optional<JobState> before)
+{
+    if (!m_workload || m_isReset || !record.isAccepted())
+        return;
+    if (!before)
+        m_workload->recordAcceptance(record.organisation);
+    if (before != JobState::Completed && record.state == JobState::Completed)
+        m_workload->recordCompletion(record.pool, record.work);
 }
 
 void JobDirectory::applyTo(JobRecord& record, const TableRow& row)
@@ -59,6 +72,7 @@
         record.queue = job->queue;
         record.pool = job->pool;
         record.organisation = job->organisation;
+        record.work = workOf(*job);
         record.version = row.version;
         return;
     }
@@ -89,9 +103,11 @@
         return;
     }
     auto& record = m_records[id];
+    const auto before = record.isAccepted() ? std::optional(record.state) : std::nullopt;
     updateCounts(record, -1);
     applyTo(record, row);
     updateCounts(record, 1);
+    recordChange(record, before);
     const bool isFromCaller = row.key.front() != 's';
     if (isFromCaller && record.isAccepted() && m_listener)
         m_listener(id, record);
@@ -102,11 +118,15 @@
     m_records.clear();
     m_pending.clear();
     m_unfinished.clear();
+    if (m_workload)
+        m_workload->clear();
+    m_isReset = true;
     // The rows of a job come in any order, so the listener is called only after all rows are applied.
     const auto listener = std::exchange(m_listener, nullptr);
     for (const auto& row : rows)
         apply(row);
     m_listener = listener;
+    m_isReset = false;
     if (!m_listener)
         return;
     for (const auto& [id, record] : m_records) {
--- a/src/libscheduler/job_timing.cpp
+++ b/src/libscheduler/job_timing.cpp
@@ -6,9 +6,6 @@
 namespace damask::fleet {
 namespace {
 
-/// Multiple of its objective after which a job is overdue instead of late.
-constexpr int overdueFactor = 3;
-
 /// Most jobs have fewer steps, for which no memory is allocated.
 constexpr std::size_t usualStepCount = 16;
 
@@ -39,11 +36,13 @@
 
 milliseconds objectiveDuration(const JobEntry& job, const Queue* queue)
 {
-    if (!queue)
-        return job.criticalPath;
-    return milliseconds(
-               static_cast<std::int64_t>(static_cast<double>(job.criticalPath.count()) * queue->stretch))
-        + queue->latencyTarget;
+    return queue ? objectiveDuration(job.criticalPath, *queue) : job.criticalPath;
+}
+
+milliseconds objectiveDuration(milliseconds criticalPath, const Queue& queue)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(criticalPath.count()) * queue.stretch))
+        + queue.latencyTarget;
 }
 
 Timeliness timelinessOf(milliseconds took, milliseconds objective)
