Start a second run of stragglers in speculative steps

Cause: StepSpec::speculative was stored and read by nothing; a task that takes seven times as long as its siblings held up its job to the end.

Ruled out: copies of all last tasks (most are thrown away), copies by progress below the mean (they copy what ends soon), copies as tasks of their own (ends, attempts and records would have to be merged), stopping the straggler first (a wrong guess loses its work).

Change: TaskState::copy, a second run on another VM beside TaskState::run. If run is gone, copy takes its place, so a task without run has none. What handles the runs of one VM asks runOn(). The first end counts, also one of a run that a new holder doesn't know; the other run is stopped, and its failure is no attempt. A next holder adopts both runs. planning_index_test draws speculative steps, checks that runs and VMs agree and that no task is started after its end was applied. The fixtures look runs up by VM.

Conclusion: copies are complete in the holder; their value is to be measured.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -75,6 +75,10 @@
     std::string checkpoint;
     bool hasSkippedCheckpoint = false; ///< one was too long to be kept, see PoolLimits::maxCheckpointBytes
     std::optional<RunState> run;
+    /// Second run, of a step with StepSpec::speculative, on another VM. Set only beside run; if that ends or
+    /// is released first, this one becomes it.
+    std::optional<RunState> copy;
+    bool hasBeenCopied = false; ///< by this holder
     int crashes = 0; ///< VMs that crashed while the task may have run on them
     int trialCrashes = 0; ///< of these, those that crashed during the trial of its run
     int sharedTrialCrashes
@@ -108,6 +112,8 @@
 struct StepState {
     std::vector<TaskState> tasks;
     int doneTasks = 0;
+    std::vector<milliseconds>
+        runTimes; ///< of its done tasks, if it is speculative and this holder started them
     StepAdvice advice;
 };
 
@@ -306,9 +312,12 @@
     CrashedOnTrial, ///< the VM crashed during the trial of this run
     GivenUp, ///< the job has failed, since the task crashes the VMs that start it
     CheckpointTooLong, ///< the task keeps its earlier checkpoint
+    Copied, ///< planned as a second run of its task
+    CopyEndedFirst, ///< the run was a second one; the first is stopped
+    CopySuperseded, ///< the first run has ended; the second is stopped
 };
 
-inline constexpr NameTable<RunEventKind, 12> runEventKindNames { {
+inline constexpr NameTable<RunEventKind, 15> runEventKindNames { {
     { RunEventKind::NotListed, "not_listed" },
     { RunEventKind::VmRestarted, "vm_restarted" },
     { RunEventKind::LeaseExpired, "lease_expired" },
@@ -321,6 +330,9 @@
     { RunEventKind::CrashedOnTrial, "vm_crashed_on_trial" },
     { RunEventKind::GivenUp, "given_up" },
     { RunEventKind::CheckpointTooLong, "checkpoint_too_long" },
+    { RunEventKind::Copied, "copied" },
+    { RunEventKind::CopyEndedFirst, "copy_ended_first" },
+    { RunEventKind::CopySuperseded, "copy_superseded" },
 } };
 
 struct RunEvent {
@@ -360,6 +372,10 @@
     TimePoint earlierStartsUntil {}; ///< until then VMs may carry out starts of earlier holders
     std::vector<RunEvent> runEvents; ///< not yet logged, oldest first
     std::vector<LocalityPlacement> localityPlacements; ///< the same
+    std::set<StepId> copyableSteps; ///< those with runs that may be copied, and perhaps others
+    TimePoint copiesPlannedAt {}; ///< when a pass last looked at their runs; zero: never
+    /// Median of the run times of copyable tasks, as a multiple of their estimates, by queue.
+    std::map<std::string, double, std::less<>> runTimeFactors;
     /// Room for long-running tasks that wait or have to leave their VM. Without it, shorter and smaller tasks
     /// take each bit of room that becomes free on a full VM.
     std::map<TaskId, ServingReservation> servingReservations;
@@ -517,6 +533,9 @@
 /// The task, or nullptr if the job has no such task or its occurrence has ended. Creates the state of its
 /// occurrence if it is missing.
 TaskState* findTask(PoolState& state, const TaskId& task);
+/// The task's run on the VM; nullptr if it has none there.
+const RunState* runOn(const TaskState& task, std::string_view vm);
+RunState* runOn(TaskState& task, std::string_view vm);
 /// The specification of a step.
 const StepSpec& stepOf(const JobEntry& job, int step);
 /// Whether all steps that \p step depends on are done.
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -463,10 +463,16 @@
 
 void PoolHolder::logRunEvents()
 {
-    for (const auto& event : m_state.runEvents)
+    for (const auto& event : m_state.runEvents) {
+        const bool isOfCopy = event.kind == RunEventKind::Copied || event.kind == RunEventKind::CopyEndedFirst
+            || event.kind == RunEventKind::CopySuperseded;
+        if (isOfCopy)
+            m_context.metrics.count(
+                "task_copies_total{event=\"" + std::string(nameOf(runEventKindNames, event.kind)) + "\"}");
         logEvent(LogLevel::Info, "task_run",
             { { "task", toString(event.task) }, { "run", std::to_string(event.run) }, { "vm", event.vm },
                 { "event", std::string(nameOf(runEventKindNames, event.kind)) } });
+    }
     m_state.runEvents.clear();
 }
 
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -114,9 +114,9 @@
         "task_start_outcomes_total{outcome=\"" + std::string(nameOf(commandOutcomeNames, outcome)) + "\"}");
     m_context.metrics.observe("task_start_seconds", now - sentAt);
     const auto* task = findTask(m_state, start.command.task);
-    const bool isCurrentRun = task && task->run && task->run->number == start.command.run;
-    const auto heldBack = isCurrentRun
-        ? std::chrono::duration_cast<milliseconds>(sentAt - task->run->createdAt)
+    const auto* run = task ? runOn(*task, start.vm) : nullptr;
+    const auto heldBack = run && run->number == start.command.run
+        ? std::chrono::duration_cast<milliseconds>(sentAt - run->createdAt)
         : milliseconds(0);
     logEvent(LogLevel::Info, "task_start",
         { { "task", toString(start.command.task) }, { "run", std::to_string(start.command.run) },
--- a/src/libscheduler/crash_attribution.cpp
+++ b/src/libscheduler/crash_attribution.cpp
@@ -63,6 +63,12 @@
     }
 }
 
+/// Whether the task has the run.
+bool hasRun(const TaskState& task, std::uint32_t number)
+{
+    return (task.run && task.run->number == number) || (task.copy && task.copy->number == number);
+}
+
 void attributeEarlierCrash(PoolState& state, const TaskId& id, TaskState& task)
 {
     const auto run = *task.earlierRun;
@@ -70,7 +76,7 @@
     auto& job = state.jobs.find(id.job)->second;
     job.dirty = true; // a later holder would decide again, by later lists of VMs
     markChanged(state, job);
-    if (task.done || (task.run && task.run->number == run.number))
+    if (task.done || hasRun(task, run.number))
         return;
     const auto vm = state.vms.find(run.vm);
     const bool hasReported = vm != state.vms.end() && vm->second.hasReported;
@@ -125,13 +131,14 @@
         vm.trialTask.reset();
         for (const auto& id : vm.runs) {
             auto* task = findTask(state, id);
-            if (!task || !task->run || task->run->trial.count() == 0)
+            auto* run = task ? runOn(*task, name) : nullptr;
+            if (!run || run->trial.count() == 0)
                 continue;
-            if (isOnTrial(vm, *task->run)) {
+            if (isOnTrial(vm, *run)) {
                 vm.trialTask = id;
                 continue;
             }
-            task->run->trial = milliseconds(0);
+            run->trial = milliseconds(0);
             auto& job = state.jobs.find(id.job)->second;
             job.dirty = true;
             markChanged(state, job);
@@ -145,9 +152,10 @@
 {
     for (const auto& id : vm.runs) {
         auto* task = findTask(state, id);
-        if (!task || !task->run || task->run->isAtRisk || !mayHaveCrashed(state, vm, id, *task->run))
+        auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (!run || run->isAtRisk || !mayHaveCrashed(state, vm, id, *run))
             continue;
-        task->run->isAtRisk = true;
+        run->isAtRisk = true;
         auto& job = state.jobs.find(id.job)->second;
         job.dirty = true;
         markChanged(state, job);
@@ -158,9 +166,10 @@
 {
     for (const auto& id : vm.runs) {
         auto* task = findTask(state, id);
-        if (!task || !task->run || !task->run->isAtRisk)
+        auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (!run || !run->isAtRisk)
             continue;
-        task->run->isAtRisk = false;
+        run->isAtRisk = false;
         auto& job = state.jobs.find(id.job)->second;
         job.dirty = true;
         markChanged(state, job);
@@ -185,23 +194,24 @@
     std::vector<TaskId> onTrial;
     for (const auto& id : vm.runs) {
         const auto* task = findTask(state, id);
-        if (!task || !task->run || survivors.contains(id) || task->run->sentAt >= before
-            || !mayHaveCrashed(state, vm, id, *task->run))
+        const auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (!run || survivors.contains(id) || run->sentAt >= before || !mayHaveCrashed(state, vm, id, *run))
             continue;
         candidates.push_back(id);
-        if (isOnTrial(vm, *task->run))
+        if (isOnTrial(vm, *run))
             onTrial.push_back(id);
     }
     // A gang has one trial; after a takeover a VM may also have adopted runs of several tasks on trial.
     const bool isCertain = onTrial.size() == 1 || (!onTrial.empty() && areOfOneGang(state, onTrial));
     for (const auto& id : onTrial.empty() ? candidates : onTrial) {
         auto& task = *findTask(state, id);
-        task.run->isCrashAttributed = true;
-        const bool isShared = !isCertain && task.run->isTrialShared && isOnTrial(vm, *task.run);
+        auto& run = *runOn(task, vm.entry.id);
+        run.isCrashAttributed = true;
+        const bool isShared = !isCertain && run.isTrialShared && isOnTrial(vm, run);
         // An older run has shown for a while that it doesn't crash a VM at its start.
-        const bool isYoung = task.run->sentAt + state.limits.shortTrial >= vm.lastContactAt;
+        const bool isYoung = run.sentAt + state.limits.shortTrial >= vm.lastContactAt;
         task.isSuspect = task.isSuspect || isYoung || task.crashes + 1 >= state.limits.crashesBeforeLongTrial;
-        countCrash(state, id, task, { vm.entry.id, task.run->number, isCertain, isShared, isProven });
+        countCrash(state, id, task, { vm.entry.id, run.number, isCertain, isShared, isProven });
     }
 }
 
--- a/src/libscheduler/placement_choice.cpp
+++ b/src/libscheduler/placement_choice.cpp
@@ -190,7 +190,8 @@
         return false;
     return std::none_of(vm.runs.begin(), vm.runs.end(), [&](const TaskId& id) {
         const auto* task = findTask(state, id);
-        return task && task->run && task->run->sentAt == TimePoint {};
+        const auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        return run && run->sentAt == TimePoint {};
     });
 }
 
--- a/src/libscheduler/planning_index_test.cpp
+++ b/src/libscheduler/planning_index_test.cpp
@@ -129,8 +129,11 @@
         updateLoadSums(state, wallNow);
         BOOST_TEST((sumLoad(state, clock.now()) == computeLoad(state, clock.now(), wallNow)));
         checkChoice();
+        checkRuns();
     }
 
+    int copies = 0; ///< second runs that were started
+
 private:
     static constexpr auto visitsBit
         = static_cast<PendingReaders>(1U << static_cast<int>(ChangeReader::Visits));
@@ -192,6 +195,7 @@
             out.requiredLabel = "r2";
         if (!isFirst)
             out.after = { 0 };
+        out.speculative = draw(2) == 0;
         return out;
     }
 
@@ -224,7 +228,7 @@
         out.bootTime = std::max<std::int64_t>(vm.bootTime, 1);
         auto number = vm.applied;
         for (const auto& task : vm.runs) {
-            const auto& run = *findTask(state, task)->run;
+            const auto& run = *runOn(*findTask(state, task), id);
             const bool isStopping = run.phase == RunPhase::Stopping;
             if (isStopping || draw(3) == 0)
                 out.ended.push_back({ ++number, task, run.number,
@@ -286,7 +290,10 @@
 
     void send(const StartAction& start)
     {
-        findTask(state, start.command.task)->run->sentAt = clock.now();
+        auto& task = *findTask(state, start.command.task);
+        BOOST_TEST(!task.done);
+        runOn(task, start.vm)->sentAt = clock.now();
+        copies += task.copy && task.copy->vm == start.vm;
         m_unanswered.push_back(start);
     }
 
@@ -321,6 +328,37 @@
             BOOST_TEST(vms.contains(stop.vm), "stop of " << toString(stop.task) << " on " << stop.vm);
     }
 
+    /// The runs of the tasks are those that the VMs reserve room for.
+    void checkRuns()
+    {
+        std::set<std::pair<std::string, TaskId>> runs;
+        for (const auto& [id, vm] : state.vms) {
+            Resources used;
+            for (const auto& task : vm.runs) {
+                runs.emplace(id, task);
+                used += reservedBy(stepOf(state.jobs.at(task.job), task.step));
+            }
+            BOOST_TEST((used == vm.used));
+        }
+        const auto take = [&](const TaskId& id, const std::optional<RunState>& run) {
+            BOOST_TEST((!run || runs.erase({ run->vm, id }) == 1), toString(id));
+        };
+        for (const auto& [jobId, job] : state.jobs) {
+            for (const auto& [number, occurrence] : job.occurrences) {
+                for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+                    TaskId id { jobId, number, static_cast<int>(s), 0 };
+                    for (const auto& task : occurrence.steps[s].tasks) {
+                        take(id, task.run);
+                        take(id, task.copy);
+                        BOOST_TEST((!task.copy || (task.run && stepOf(job, id.step).speculative)));
+                        ++id.index;
+                    }
+                }
+            }
+        }
+        BOOST_TEST(runs.empty());
+    }
+
     /// The VM chosen for a task that only room keeps from a VM is the most used one that can take it.
     void checkChoice()
     {
@@ -366,6 +404,7 @@
 
 BOOST_AUTO_TEST_CASE(indexesAgreeWithTheWholeState)
 {
+    int copies = 0;
     for (std::uint32_t seed = 1; seed <= 60; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
@@ -374,8 +413,10 @@
                 pool.step();
                 pool.checkIndexes();
             }
+            copies += pool.copies;
         }
     }
+    BOOST_TEST(copies > 0);
 }
 
 BOOST_AUTO_TEST_CASE(sizeClassesAreContiguous)
--- a/src/libscheduler/pool_evacuation.cpp
+++ b/src/libscheduler/pool_evacuation.cpp
@@ -72,12 +72,13 @@
     for (const auto& id : vm.runs) {
         auto* task = findTask(state, id);
         auto& job = state.jobs.find(id.job)->second;
-        if (!task || !task->run || task->run->phase != RunPhase::Running || isFinal(job.state))
+        auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (!run || run->phase != RunPhase::Running || isFinal(job.state))
             continue;
         const bool isTimeOver = vm.isEvacuating && now - vm.evacuatingSince > state.limits.evacuationTimeout;
         if (!stepOf(job, id.step).longRunning) {
             if (isTimeOver)
-                markStopping(*task->run, now);
+                markStopping(*run, now);
             continue;
         }
         // A suspect task needs a VM for its trial, which isn't reserved ahead.
--- a/src/libscheduler/pool_fixture_test.h
+++ b/src/libscheduler/pool_fixture_test.h
@@ -106,7 +106,7 @@
     {
         auto out = starts();
         for (const auto& start : out) {
-            findTask(state, start.command.task)->run->sentAt = clock.now();
+            runOn(*findTask(state, start.command.task), start.vm)->sentAt = clock.now();
             applyStartOutcome(state, start.vm, start.command.task, start.command.run,
                 CommandOutcome::Accepted, clock.now());
         }
@@ -125,7 +125,7 @@
             const bool over = std::any_of(
                 ended.begin(), ended.end(), [&](const EndReport& end) { return end.task == id; });
             if (!over)
-                out.running.push_back({ id, task.run->number, "", 50, 0 });
+                out.running.push_back({ id, runOn(task, vm)->number, "", 50, 0 });
         }
         out.ended = std::move(ended);
         applyReport(state, vm, out, clock.now(), clock.now());
--- a/src/libscheduler/pool_pace.cpp
+++ b/src/libscheduler/pool_pace.cpp
@@ -22,10 +22,11 @@
     for (const auto& id : vm.runs) {
         const auto* task = findTask(state, id);
         const auto& step = stepOf(state.jobs.find(id.job)->second, id.step);
-        if (!task || !task->run || step.latencyTarget.count() == 0)
+        const auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (!run || step.latencyTarget.count() == 0)
             continue;
-        ratio = std::max(ratio,
-            static_cast<double>(task->run->reportedLoad) / static_cast<double>(step.latencyTarget.count()));
+        ratio = std::max(
+            ratio, static_cast<double>(run->reportedLoad) / static_cast<double>(step.latencyTarget.count()));
     }
     return ratio;
 }
@@ -44,15 +45,16 @@
     for (const auto& id : found->second.runs) {
         auto* task = findTask(state, id);
         const auto& step = stepOf(state.jobs.find(id.job)->second, id.step);
-        if (!task || !task->run || !step.filler || task->run->phase != RunPhase::Running)
+        auto* run = task ? runOn(*task, vmId) : nullptr;
+        if (!run || !step.filler || run->phase != RunPhase::Running)
             continue;
         const int limit = ratio > throttleThreshold
-            ? task->run->cpuLimitPercent / 2 / limitGranularityPercent * limitGranularityPercent
-            : std::min(100, task->run->cpuLimitPercent + raiseStepPercent);
-        if (limit == task->run->cpuLimitPercent)
+            ? run->cpuLimitPercent / 2 / limitGranularityPercent * limitGranularityPercent
+            : std::min(100, run->cpuLimitPercent + raiseStepPercent);
+        if (limit == run->cpuLimitPercent)
             continue;
-        task->run->cpuLimitPercent = limit;
-        out.push_back({ std::string(vmId), id, task->run->number, limit });
+        run->cpuLimitPercent = limit;
+        out.push_back({ std::string(vmId), id, run->number, limit });
     }
     return out;
 }
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -6,6 +6,7 @@
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
 #include "rack_choice_pvt.h"
+#include "run_copies_pvt.h"
 #include "serving_reservations_pvt.h"
 #include "vm_room_pvt.h"
 #include "waiting_steps_pvt.h"
@@ -175,7 +176,8 @@
     }
     recordMissingTicket(state, job, waiting);
     for (const auto& start : starts)
-        releaseRun(state, start.command.task, step.tasks[static_cast<std::size_t>(start.command.task.index)]);
+        releaseRun(state, start.command.task, step.tasks[static_cast<std::size_t>(start.command.task.index)],
+            start.vm);
     for (auto it = before.rbegin(); it != before.rend(); ++it) {
         it->vm->lastStartAt = it->lastStartAt;
         it->vm->trialTask = it->trialTask;
@@ -246,6 +248,26 @@
     }
 }
 
+/// Starts copies of stragglers in the room that is left.
+void placeCopies(PoolState& state, TimePoint now, std::size_t maxStarts, std::vector<StartAction>& out)
+{
+    if (out.size() >= maxStarts)
+        return;
+    for (const auto& straggler : findStragglers(state, now)) {
+        if (out.size() >= maxStarts)
+            return;
+        auto* vm = chooseCopyVm(state, straggler, now);
+        if (!vm)
+            continue;
+        auto& job = state.jobs.find(straggler.task.job)->second;
+        auto& task = *findTask(state, straggler.task);
+        const auto number = nextRun(state, job, task);
+        state.runEvents.push_back({ vm->entry.id, straggler.task, number, RunEventKind::Copied });
+        out.push_back(
+            startRun(state, job, straggler.task, task, *vm, number, task.checkpoint, milliseconds(0), now));
+    }
+}
+
 WaitingServingStep describeWaiting(
     const PoolState& state, const JobEntry& job, const StepId& id, TimePoint now)
 {
@@ -442,6 +464,8 @@
     }
     if (scope == PlanScope::Everything)
         placeRemainingSuspects(state, blocks, now, limit, out);
+    if (scope == PlanScope::Everything)
+        placeCopies(state, now, limit, out);
     return out;
 }
 
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -3,6 +3,7 @@
 #include "crash_attribution_pvt.h"
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
+#include "run_copies_pvt.h"
 
 #include <algorithm>
 #include <utility>
@@ -56,12 +57,14 @@
 {
     if (task.done)
         return;
-    releaseRun(state, id, task);
     task.done = true;
     auto& step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
     ++step.doneTasks;
     job.dirty = true;
     markChanged(state, job);
+    // Another run of the task is to be stopped.
+    if (task.run)
+        markRunsChanged(state, job);
 }
 
 /// Marks all members of a gang as done, which the end of one member with EndKind::Done implies.
@@ -120,17 +123,27 @@
     auto& job = state.jobs.find(end.task.job)->second;
     const auto& step = stepOf(job, end.task.step);
     markJobRunning(state, job);
-    const bool isCurrentRun = task->run && task->run->vm == vm.entry.id && task->run->number == end.run;
+    const auto* run = runOn(*task, vm.entry.id);
+    const bool isCurrentRun = run && run->number == end.run;
+    const bool isOutdated
+        = task->done && isCopyable(step); ///< a failure beside the end that counts is no attempt
     if (!isCurrentRun && task->run) {
-        // A newer run has the task. A failure of this one still counts as an attempt.
-        if (end.kind == EndKind::Failed)
+        // A newer run has the task. A failure of this one still counts as an attempt, and the first end of a
+        // task with copies counts.
+        if (end.kind == EndKind::Failed && !isOutdated)
             failTask(state, job, *task, step, end.run);
+        if (end.kind == EndKind::Done && isCopyable(step)) {
+            finishTask(state, job, end.task, *task);
+            completeIfDone(state, job);
+        }
         return;
     }
+    if (isCurrentRun)
+        recordEndOfCopied(state, job, end, *task, *run, now);
     task->lastRun = std::max(task->lastRun, end.run);
     keepCheckpoint(state, vm, end.task, *task, end.run, end.checkpoint);
     if (isCurrentRun)
-        releaseRun(state, end.task, *task);
+        releaseRun(state, end.task, *task, vm.entry.id);
     switch (end.kind) {
     case EndKind::Done:
         recordSuccess(vm);
@@ -142,7 +155,8 @@
         break;
     case EndKind::Failed:
         recordFailure(vm, end.task.job, state.limits, now);
-        failTask(state, job, *task, step, end.run);
+        if (!isOutdated)
+            failTask(state, job, *task, step, end.run);
         break;
     case EndKind::Stopped:
     case EndKind::LeaseExpired:
@@ -174,8 +188,9 @@
 {
     auto* task = findTask(state, report.task);
     const auto job = state.jobs.find(report.task.job);
-    const bool adoptable
-        = task && !task->done && !task->run && !isFinal(job->second.state) && report.run >= task->lastRun;
+    const bool isFirst = task && !task->run && report.run >= task->lastRun;
+    const bool adoptable = task && !task->done && !isFinal(job->second.state)
+        && (isFirst || mayAdoptCopy(stepOf(job->second, report.task.step), *task, vm.entry.id));
     // The run has outlived every lease that this holder knows of.
     vm.leaseUntil = std::max(vm.leaseUntil, vm.reportedClock + state.limits.maxVmLease);
     if (!adoptable) {
@@ -186,7 +201,7 @@
     RunState run { vm.entry.id, report.run };
     run.vmBootTime = vm.bootTime;
     run.createdAt = run.sentAt = now;
-    run.trial = trialLength(*task, state.limits);
+    run.trial = isFirst ? trialLength(*task, state.limits) : milliseconds(0);
     if (run.trial.count() > 0) {
         vm.trialTask = report.task;
         state.trialVms.insert(vm.entry.id);
@@ -194,26 +209,27 @@
     placeRun(state, vm, report.task, *task, run);
     state.runEvents.push_back({ vm.entry.id, report.task, report.run, RunEventKind::Adopted });
     task->wasListed = true;
-    confirmRun(*task->run, report, now);
+    confirmRun(*runOn(*task, vm.entry.id), report, now);
     markJobRunning(state, job->second);
 }
 
 void applyRunning(PoolState& state, VmState& vm, const RunReport& report, TimePoint now)
 {
     auto* task = findTask(state, report.task);
-    if (task)
+    auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+    if (task && !task->copy)
         keepCheckpoint(state, vm, report.task, *task, report.run, report.checkpoint);
-    if (task && task->run && task->run->vm == vm.entry.id && task->run->number == report.run) {
+    if (run && run->number == report.run) {
         auto& job = state.jobs.find(report.task.job)->second;
         markJobRunning(state, job);
-        task->run->vmBootTime = vm.bootTime;
+        run->vmBootTime = vm.bootTime;
         // The steps that depend on this one may be known not to run.
         if (!std::exchange(task->wasListed, true))
             markChanged(state, job);
         if (task->crashes > 0)
             markChanged(state, job);
         clearSuspicion(job, stepOf(job, report.task.step), *task, state.limits, now);
-        return confirmRun(*task->run, report, now);
+        return confirmRun(*run, report, now);
     }
     adoptRun(state, vm, report, now);
 }
@@ -229,10 +245,11 @@
     vm.lastStartAt = TimePoint {};
     for (const auto& id : vm.runs) {
         auto* task = findTask(state, id);
-        if (!task || !task->run || task->run->stopConfirmedAt == TimePoint {})
+        auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (!run || run->stopConfirmedAt == TimePoint {})
             continue;
-        task->run->stopConfirmedAt = TimePoint {};
-        task->run->nextStopAt = now;
+        run->stopConfirmedAt = TimePoint {};
+        run->nextStopAt = now;
     }
 }
 
@@ -262,13 +279,13 @@
     const auto runs = vm.runs;
     for (const auto& id : runs) {
         auto* task = findTask(state, id);
-        if (!task || !task->run || listed.contains(id))
+        const auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (!run || listed.contains(id))
             continue;
-        const auto& run = *task->run;
-        const bool confirmed = run.confirmedAt != TimePoint {} && run.confirmedAt < sentAt;
-        const bool stopConfirmed = run.stopConfirmedAt != TimePoint {} && run.stopConfirmedAt < sentAt;
+        const bool confirmed = run->confirmedAt != TimePoint {} && run->confirmedAt < sentAt;
+        const bool stopConfirmed = run->stopConfirmedAt != TimePoint {} && run->stopConfirmedAt < sentAt;
         if (confirmed || stopConfirmed)
-            releaseRunAs(state, id, *task, kind);
+            releaseRunAs(state, id, *task, vm.entry.id, kind);
     }
 }
 
@@ -348,10 +365,10 @@
 {
     auto found = state.vms.find(name);
     auto* task = findTask(state, id);
-    if (found == state.vms.end() || !task || !task->run || task->run->vm != name
-        || task->run->number != number)
+    auto* started = task ? runOn(*task, name) : nullptr;
+    if (found == state.vms.end() || !started || started->number != number)
         return;
-    auto& run = *task->run;
+    auto& run = *started;
     if (outcome != CommandOutcome::Unknown && outcome != CommandOutcome::Unreachable
         && outcome != CommandOutcome::WrongVm)
         found->second.lastContactAt = now;
@@ -391,7 +408,7 @@
     case CommandOutcome::Invalid:
         break;
     }
-    releaseRunAs(state, id, *task, RunEventKind::StartRejected);
+    releaseRunAs(state, id, *task, name, RunEventKind::StartRejected);
 }
 
 void applyStopOutcome(PoolState& state, std::string_view name, const TaskId& id, std::uint32_t number,
@@ -404,12 +421,13 @@
             orphan->second = now + state.limits.stopRetryDelay;
     }
     auto* task = findTask(state, id);
-    if (!task || !task->run || task->run->vm != name || task->run->number != number)
+    auto* run = task ? runOn(*task, name) : nullptr;
+    if (!run || run->number != number)
         return;
     const bool mayBeOfAnEarlierBoot = vm != state.vms.end() && sentAt < vm->second.restartedAt;
-    task->run->nextStopAt = mayBeOfAnEarlierBoot ? now : now + state.limits.stopRetryDelay;
+    run->nextStopAt = mayBeOfAnEarlierBoot ? now : now + state.limits.stopRetryDelay;
     if (outcome == CommandOutcome::Accepted && !mayBeOfAnEarlierBoot)
-        task->run->stopConfirmedAt = now;
+        run->stopConfirmedAt = now;
 }
 
 namespace {
@@ -449,9 +467,10 @@
     vm.nextStopAt = TimePoint::max();
     for (const auto& id : vm.runs) {
         auto* task = findTask(state, id);
-        if (!task || !task->run)
+        auto* listed = task ? runOn(*task, name) : nullptr;
+        if (!listed)
             continue;
-        auto& run = *task->run;
+        auto& run = *listed;
         const auto& job = state.jobs.find(id.job)->second;
         const auto& step = stepOf(job, id.step);
         if (isFinal(job.state) || task->done)
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -4,6 +4,7 @@
 #include "pool_load_pvt.h"
 #include "pool_state_pvt.h"
 #include "progress_pvt.h"
+#include "run_copies_pvt.h"
 #include "vm_room_pvt.h"
 
 #include <algorithm>
@@ -134,6 +135,18 @@
     return index < tasks.size() ? &tasks[index] : nullptr;
 }
 
+const RunState* runOn(const TaskState& task, std::string_view vm)
+{
+    if (task.run && task.run->vm == vm)
+        return &*task.run;
+    return task.copy && task.copy->vm == vm ? &*task.copy : nullptr;
+}
+
+RunState* runOn(TaskState& task, std::string_view vm)
+{
+    return const_cast<RunState*>(runOn(std::as_const(task), vm));
+}
+
 bool isStepReady(const JobEntry& job, const OccurrenceState& occurrence, int step)
 {
     for (int before : stepOf(job, step).after) {
@@ -192,7 +205,10 @@
     markChanged(state, vm);
     markChanged(state, job);
     task.lastRun = std::max(task.lastRun, run.number);
-    task.run = std::move(run);
+    task.hasBeenCopied = task.hasBeenCopied || task.run;
+    (task.run ? task.copy : task.run) = std::move(run);
+    if (isCopyable(stepOf(job, id.step)))
+        state.copyableSteps.insert({ id.job, id.occurrence, id.step });
 }
 
 namespace {
@@ -207,15 +223,16 @@
 
 } // namespace
 
-void releaseRun(PoolState& state, const TaskId& id, TaskState& task)
+void releaseRun(PoolState& state, const TaskId& id, TaskState& task, std::string_view vmId)
 {
-    if (!task.run)
+    const auto* run = runOn(task, vmId);
+    if (!run)
         return;
     auto& job = state.jobs.find(id.job)->second;
-    auto vm = state.vms.find(task.run->vm);
+    auto vm = state.vms.find(vmId);
     // The record tells the next holder that the run may have crashed its VM.
-    const bool hasRecord = task.run->trial.count() > 0 || task.run->isAtRisk;
-    if (hasRecord && (vm == state.vms.end() || !mayHaveCrashedUnnoticed(vm->second, *task.run)))
+    const bool hasRecord = run->trial.count() > 0 || run->isAtRisk;
+    if (hasRecord && (vm == state.vms.end() || !mayHaveCrashedUnnoticed(vm->second, *run)))
         job.dirty = true;
     if (vm != state.vms.end() && vm->second.runs.erase(id) > 0) {
         vm->second.used -= reservedBy(stepOf(job, id.step));
@@ -223,7 +240,9 @@
         markChanged(state, vm->second);
     }
     markChanged(state, job);
-    task.run.reset();
+    if (run == &*task.run)
+        task.run = std::move(task.copy);
+    task.copy.reset();
 }
 
 void markStopping(RunState& run, TimePoint now)
@@ -250,13 +269,13 @@
 
 } // namespace
 
-void releaseRunAs(PoolState& state, const TaskId& id, TaskState& task, RunEventKind kind)
+void releaseRunAs(PoolState& state, const TaskId& id, TaskState& task, std::string_view vm, RunEventKind kind)
 {
-    if (task.run) {
-        state.runEvents.push_back({ task.run->vm, id, task.run->number, kind });
-        recordUnsettledStart(state, *task.run, kind);
+    if (const auto* run = runOn(task, vm)) {
+        state.runEvents.push_back({ run->vm, id, run->number, kind });
+        recordUnsettledStart(state, *run, kind);
     }
-    releaseRun(state, id, task);
+    releaseRun(state, id, task, vm);
 }
 
 void listVm(PoolState& state, const VmRegistration& entry)
@@ -308,7 +327,8 @@
     auto& vm = found->second;
     const bool hasUnknownStart = std::any_of(vm.runs.begin(), vm.runs.end(), [&](const TaskId& id) {
         const auto* task = findTask(state, id);
-        return task && task->run && task->run->phase == RunPhase::Unknown;
+        const auto* run = task ? runOn(*task, name) : nullptr;
+        return run && run->phase == RunPhase::Unknown;
     });
     const bool isUnsettled
         = hasUnknownStart || now < std::max(vm.unsettledStartsUntil, state.earlierStartsUntil);
@@ -528,8 +548,9 @@
     const auto runs = vm.runs;
     for (const auto& id : runs) {
         auto* task = findTask(state, id);
-        if (task && task->run && !mayRunInALaterBoot(vm, *task->run, state.limits, now))
-            releaseRunAs(state, id, *task, kind);
+        const auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (run && !mayRunInALaterBoot(vm, *run, state.limits, now))
+            releaseRunAs(state, id, *task, vm.entry.id, kind);
     }
     if (!std::exchange(vm.orphanRuns, {}).empty())
         markChanged(state, vm);
--- a/src/libscheduler/pool_state_pvt.h
+++ b/src/libscheduler/pool_state_pvt.h
@@ -8,12 +8,13 @@
 
 /// Resources that a task of the step reserves on a VM; no CPU for fillers.
 Resources reservedBy(const StepSpec& step);
-/// Records a run and reserves its resources.
+/// Records a run, as the copy if the task has one already, and reserves its resources.
 void placeRun(PoolState& state, VmState& vm, const TaskId& id, TaskState& task, RunState run);
-/// Removes a run and frees its resources.
-void releaseRun(PoolState& state, const TaskId& id, TaskState& task);
-/// Records a RunEvent, then removes the run and frees its resources.
-void releaseRunAs(PoolState& state, const TaskId& id, TaskState& task, RunEventKind kind);
+/// Removes the task's run on the VM, if it has one there, and frees its resources.
+void releaseRun(PoolState& state, const TaskId& id, TaskState& task, std::string_view vm);
+/// The same after recording a RunEvent.
+void releaseRunAs(
+    PoolState& state, const TaskId& id, TaskState& task, std::string_view vm, RunEventKind kind);
 /// Marks the VMs that have runs of the job as changed, after the job has ended or a step is done.
 void markRunsChanged(PoolState& state, const JobEntry& job);
 /// Removes the VM's entry in PoolState::visitTimes.
--- a/src/libscheduler/pool_visits.cpp
+++ b/src/libscheduler/pool_visits.cpp
@@ -56,9 +56,11 @@
     for (const auto& [number, occurrence] : job.occurrences) {
         for (const auto& step : occurrence.steps) {
             for (const auto& task : step.tasks) {
-                const auto vm = task.run ? state.vms.find(task.run->vm) : state.vms.end();
-                if (vm != state.vms.end())
-                    markChanged(state, vm->second);
+                for (const auto* run : { &task.run, &task.copy }) {
+                    const auto vm = *run ? state.vms.find((*run)->vm) : state.vms.end();
+                    if (vm != state.vms.end())
+                        markChanged(state, vm->second);
+                }
             }
         }
     }
--- a/src/libscheduler/rack_choice.cpp
+++ b/src/libscheduler/rack_choice.cpp
@@ -72,10 +72,11 @@
     outlook.ends.clear();
     for (const auto& id : vm.runs) {
         const auto* task = findTask(state, id);
-        if (!task || !task->run)
+        const auto* run = task ? runOn(*task, vm.entry.id) : nullptr;
+        if (!run)
             continue;
         const auto& step = stepOf(state.jobs.find(id.job)->second, id.step);
-        if (const auto end = expectedEndOf(state, vm, step, *task->run, now))
+        if (const auto end = expectedEndOf(state, vm, step, *run, now))
             outlook.ends.push_back({ *end, reservedBy(step) });
     }
     std::sort(outlook.ends.begin(), outlook.ends.end(),
--- a/src/libscheduler/serving_reservations.cpp
+++ b/src/libscheduler/serving_reservations.cpp
@@ -44,10 +44,11 @@
         const auto& job = state.jobs.find(id.job)->second;
         const auto& step = stepOf(job, id.step);
         const auto& task = taskOf(job, id);
-        const bool isStopping = task.run && task.run->phase == RunPhase::Stopping;
-        if (!task.run || (step.longRunning && !isStopping))
+        const auto* run = runOn(task, vm.entry.id);
+        const bool isStopping = run && run->phase == RunPhase::Stopping;
+        if (!run || (step.longRunning && !isStopping))
             continue;
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(now - task.run->createdAt);
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(now - run->createdAt);
         out.push_back({ isStopping ? milliseconds(0) : std::max(milliseconds(0), step.estimate - elapsed),
             reservedBy(step) });
     }
--- a/src/libscheduler/start_gate.cpp
+++ b/src/libscheduler/start_gate.cpp
@@ -14,7 +14,7 @@
 /// Whether the start has to wait for a durable record of its run's trial.
 bool waitsForRecord(PoolState& state, const JobEntry& job, const StartAction& start)
 {
-    const auto& run = *findTask(state, start.command.task)->run;
+    const auto& run = *runOn(*findTask(state, start.command.task), start.vm);
     return run.trial.count() > 0 && job.committedBatch <= run.recordedAfterBatch;
 }
 
@@ -22,14 +22,15 @@
 bool isWanted(PoolState& state, const StartAction& start)
 {
     const auto* task = findTask(state, start.command.task);
-    return task && task->run && task->run->vm == start.vm && task->run->number == start.command.run
-        && task->run->phase == RunPhase::Starting && state.vms.contains(start.vm);
+    const auto* run = task ? runOn(*task, start.vm) : nullptr;
+    return run && run->number == start.command.run && run->phase == RunPhase::Starting
+        && state.vms.contains(start.vm);
 }
 
 /// Whether a start of the job may be sent as far as the job and the VM are concerned.
-bool isSendable(const PoolState& state, const JobEntry& job, const StartAction& start, TimePoint now)
+bool isSendable(PoolState& state, const JobEntry& job, const StartAction& start, TimePoint now)
 {
-    return !isFinal(job.state)
+    return !isFinal(job.state) && !findTask(state, start.command.task)->done
         && canStillHost(state, state.vms.find(start.vm)->second, job, start.command.task, now);
 }
 
@@ -68,7 +69,7 @@
         const auto& id = start.command.task;
         const auto& job = state.jobs.find(id.job)->second;
         if (incomplete.contains(gangRunOf(start.command)) || !isSendable(state, job, start, now)) {
-            releaseRunAs(state, id, *findTask(state, id), RunEventKind::Withdrawn);
+            releaseRunAs(state, id, *findTask(state, id), start.vm, RunEventKind::Withdrawn);
             continue;
         }
         sendable.push_back(std::move(start));
@@ -83,7 +84,7 @@
     start.command.ticket = ticketFor(job, start.command.task, start.vm);
     auto& vm = state.vms.find(start.vm)->second;
     start.command.leaseUntil = extendLease(vm, state.limits, now);
-    findTask(state, start.command.task)->run->sentAt = vm.lastStartAt = now;
+    runOn(*findTask(state, start.command.task), start.vm)->sentAt = vm.lastStartAt = now;
 }
 
 /// Sum of the change counts of the job and of the VMs of its starts.
@@ -173,7 +174,7 @@
 
 void putBackStart(PoolState& state, WaitingStarts& waiting, const StartAction& start)
 {
-    findTask(state, start.command.task)->run->sentAt = TimePoint {};
+    runOn(*findTask(state, start.command.task), start.vm)->sentAt = TimePoint {};
     auto& held = waiting.byJob[start.command.task.job];
     held.checkedChanges.reset();
     held.starts.push_back(start);
