Test of a held-back copy: its job goes on after the end

The job of the test had ended, which alone withdrew the copy; with a further step the test fails without the check of the task's end in the start gate (it was seen to).

--- a/src/libscheduler/run_copies_test.cpp
+++ b/src/libscheduler/run_copies_test.cpp
@@ -42,11 +42,11 @@
         report(vm, { { state.vms.at(vm).applied + 1, id, number, kind, "" } });
     }
 
-    /// Submits a step of which all tasks but the first end after their estimate, and lets time pass until
-    /// that one is a straggler.
-    std::vector<StartAction> makeStraggler(int count = 4)
+    /// Submits steps, of the first of which all tasks but the first end after their estimate, and lets time
+    /// pass until that one is a straggler.
+    std::vector<StartAction> makeStraggler(std::vector<StepSpec> steps = { speculativeStep(4) })
     {
-        submit("job", { speculativeStep(count) });
+        submit("job", std::move(steps));
         const auto started = plan();
         advance(1s);
         for (std::size_t i = 1; i < started.size(); ++i)
@@ -201,7 +201,9 @@
 
 BOOST_AUTO_TEST_CASE(copyThatIsHeldBackIsNotSentAfterTheEnd)
 {
-    const auto first = makeStraggler().front();
+    auto next = makeStep(1);
+    next.after = { 0 };
+    const auto first = makeStraggler({ speculativeStep(4), next }).front();
     updateLoadSums(state, wallNow);
     auto planned = starts();
     BOOST_REQUIRE(planned.size() == 1);
