Keep organisations within their caps across all pools

Ruled out: a static split of the cap (a pool whose share is used up waits while the others' lie idle); one writer that grants each start (every start waits for it, and none starts while it fails over); scaling the shares when a cap is lowered (what already runs in one pool is not scaled, so a start elsewhere still exceeds the cap). Change: each pool holds a share of each cap in rows of the table `caps`, changed only by transactions on the row's version. A holder starts tasks within its pool's share without a call; a write of unknown outcome counts as the smaller of both shares. A share is the pool's: after a takeover it counts as used until all earlier runs are known. Where no job has an organisation there are no calls. Before: no limit.

--- a/src/include/damaskworks/deployment.h
+++ b/src/include/damaskworks/deployment.h
@@ -93,6 +93,7 @@
 /// The configuration that operators write.
 struct FleetConfig {
     std::int64_t version = 0;
+    Version rowVersion = 0; ///< of the row that it is from; orders configurations
     std::vector<Queue> queues;
     std::map<std::string, Pool> pools;
     std::map<std::string, Organisation, std::less<>> organisations; ///< by name
--- a/src/include/damaskworks/fleet_node.h
+++ b/src/include/damaskworks/fleet_node.h
@@ -67,6 +67,8 @@
     bool areViewsFresh();
     /// Follows the pools' loads, as long as this node coordinates the machines.
     void followLoads();
+    /// Follows the shares of organisations' caps, if this node holds pools and there are caps.
+    void followCaps();
     /// Calls begin() on the holders and the coordinator once the node has read the tables up to their
     /// acquiredVersion().
     void beginReadyHolders();
@@ -108,6 +110,7 @@
     FleetRows m_fleetRows;
     std::unique_ptr<MachineCoordinator> m_coordinator;
     std::unique_ptr<TableFollower> m_loadRows; ///< only beside m_coordinator
+    std::unique_ptr<TableFollower> m_capRows; ///< only beside m_holders, and once there are caps
     bool m_coordinatorEnded = false;
     std::map<std::string, std::unique_ptr<PoolHolder>> m_holders;
     std::vector<std::string> m_endedHolders;
--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <damaskworks/adapter.h>
+#include <damaskworks/cap_ledger.h>
 #include <damaskworks/command_window.h>
 #include <damaskworks/fleet_plan.h>
 #include <damaskworks/job_directory.h>
@@ -36,6 +37,7 @@
     /// Returns whether jobs and VMs are known well enough to start tasks.
     std::function<bool()> areViewsFresh;
     std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
+    milliseconds configApplyTime { 0 }; ///< within which all holders have a new configuration
 };
 
 /// Sends commands to the VMs of one pool and records what they report.
@@ -59,6 +61,8 @@
     void begin(const FleetConfig& config, const std::map<std::string, VmRegistration>& vms);
     void applyConfig(const FleetConfig& config);
     void applyJob(const std::string& id, const JobRecord& record);
+    /// Applies a row of capTable.
+    void applyCapRow(const TableRow& row);
     void listVm(const VmRegistration& vm);
     void unlistVm(const std::string& id);
     /// Sets the machines to evacuate, each with the id of the machine task that requires it.
@@ -81,6 +85,8 @@
         std::uint64_t lastAckSent = 0;
     };
 
+    /// Pools that may have runs.
+    std::set<std::string> poolsInUse() const;
     /// Requests the list of machines at intervals until the recovery after a takeover is complete.
     void requestMachineList(TimePoint now);
     /// Logs which VMs the recovery after a takeover waits for.
@@ -154,6 +160,7 @@
     milliseconds m_maxVmLease;
     std::function<void()> m_onEnd;
     PoolLedger m_ledger;
+    CapLedger m_caps;
     StepAdvisor m_advisor;
     SpecReader m_specReader;
     ProgressReader m_progressReader;
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -4,6 +4,7 @@
 /// here does I/O.
 #pragma once
 
+#include <damaskworks/cap_use.h>
 #include <damaskworks/changed_ids.h>
 #include <damaskworks/clock.h>
 #include <damaskworks/deployment.h>
@@ -360,6 +361,7 @@
     WaitingSteps waitingSteps;
     VmRoom vmRoom;
     LoadSums loadSums;
+    PoolCaps caps;
     ChangedIds changedVms;
     ChangedIds changedJobs;
     std::set<std::pair<TimePoint, std::string>> visitTimes; ///< of VMs for which something is due at a time
--- /dev/null
+++ b/src/libfleet/cap_model_test.h
@@ -0,0 +1,374 @@
+/// \file
+/// Model of several pools whose holders share the caps of organisations through one table: commits that are
+/// refused, late or lose their response, takeovers, frozen holders and changes of the configuration.
+#pragma once
+
+#include <damaskworks/cap_ledger.h>
+#include <damaskworks/pool_plan.h>
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace damask::fleet {
+
+/// Table with one row a key, whose calls take effect and return when the model says so.
+class ModelTable final : public SharedTable {
+public:
+    ModelTable(ManualClock& clock, std::mt19937& random)
+        : m_clock(clock)
+        , m_random(random)
+    {
+    }
+
+    double faults = 0; ///< share of the commits with a fault
+    bool isDown = false; ///< calls fail without an effect
+    milliseconds latency { 60 }; ///< longest time to an effect or to a response
+    int commits = 0;
+    std::map<std::string, TableRow> rows;
+    std::function<void(const TableRow&)> onChange;
+
+    void commit(const TableTransaction& transaction, milliseconds, TableCallback<Version> callback) override
+    {
+        ++commits;
+        if (isDown)
+            return after([callback] { callback(tl::make_unexpected(TableFailure::NotApplied)); });
+        const bool isFaulty = std::uniform_real_distribution<>(0, 1)(m_random) < faults;
+        switch (isFaulty ? draw(3) : 3) {
+        case 0: // without an effect
+            return after([callback] { callback(tl::make_unexpected(TableFailure::NotApplied)); });
+        case 1: // the response is lost
+            return after([this, transaction, callback] {
+                apply(transaction);
+                after([callback] { callback(tl::make_unexpected(TableFailure::Unknown)); });
+            });
+        case 2: // it takes effect after the caller has given up
+            return after([this, transaction, callback] {
+                callback(tl::make_unexpected(TableFailure::Unknown));
+                after([this, transaction] { apply(transaction); }, milliseconds(1 + draw(3000)));
+            });
+        default:
+            return after([this, transaction, callback] {
+                after([callback, result = apply(transaction)] { callback(result); });
+            });
+        }
+    }
+
+    void read(const std::string&, const std::string&, const std::string& from, int,
+        TableCallback<TableRows> callback) override
+    {
+        if (isDown)
+            return after([callback] { callback(tl::make_unexpected(TableFailure::NotApplied)); });
+        after([this, from, callback] {
+            TableRows out { m_version, {}, false };
+            if (const auto row = rows.find(from); row != rows.end())
+                out.rows.push_back(row->second);
+            after([callback, out] { callback(out); });
+        });
+    }
+
+    void parts(const std::string&, const std::string&, TableCallback<std::vector<std::string>>) override { }
+    void follow(const std::string&, Version, milliseconds, TableCallback<TableRows>) override { }
+
+    /// Carries out what is due.
+    void run()
+    {
+        while (!m_events.empty() && m_events.begin()->first <= m_clock.now()) {
+            auto event = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            event();
+        }
+    }
+
+    void after(std::function<void()> event, milliseconds delay)
+    {
+        m_events.emplace(m_clock.now() + delay, std::move(event));
+    }
+    void after(std::function<void()> event)
+    {
+        after(std::move(event), milliseconds(1 + draw(static_cast<int>(latency.count()))));
+    }
+
+private:
+    int draw(int count) { return std::uniform_int_distribution<>(0, count - 1)(m_random); }
+
+    TableResult<Version> apply(const TableTransaction& transaction)
+    {
+        for (const auto& expected : transaction.preconditions) {
+            const auto row = rows.find(expected.key);
+            if ((row == rows.end() ? 0 : row->second.version) != expected.version)
+                return tl::make_unexpected(TableFailure::Conflict);
+        }
+        ++m_version;
+        for (const auto& write : transaction.writes) {
+            rows[write.key] = { "", write.key, *write.value, m_version };
+            if (onChange)
+                onChange(rows[write.key]);
+        }
+        return m_version;
+    }
+
+    ManualClock& m_clock;
+    std::mt19937& m_random;
+    Version m_version = 100; ///< configurations have lower versions
+    std::multimap<TimePoint, std::function<void()>> m_events;
+};
+
+/// A start that a pool waits for.
+struct ModelStart {
+    std::string organisation;
+    Resources need; ///< of each task
+    int together = 1;
+    TimePoint since {};
+};
+
+/// A run, from the decision to start it until its end.
+struct ModelRun {
+    std::string organisation;
+    Resources need;
+    std::uint64_t term = 0; ///< of the holder that started it
+};
+
+/// A holder of a pool.
+struct ModelHolder {
+    PoolState state;
+    bool isLeaseValid = true;
+    Version configVersion = 0;
+    std::unique_ptr<CapLedger> ledger;
+};
+
+struct ModelPool {
+    std::string name;
+    std::unique_ptr<ModelHolder> holder; ///< nullptr: the pool has none
+    std::vector<ModelRun> runs;
+    std::vector<ModelStart> waiting;
+    std::size_t knownRuns = 0; ///< runs that its holder counts; they are the last ones
+};
+
+class CapModel {
+public:
+    explicit CapModel(unsigned seed, int poolCount)
+        : random(seed)
+    {
+        for (int i = 0; i < poolCount; ++i)
+            pools.push_back({ "p" + std::to_string(i), nullptr, {}, {}, 0 });
+        table.onChange = [this](const TableRow& row) { publish(row); };
+    }
+
+    Loop loop;
+    ManualClock clock;
+    std::mt19937 random;
+    Metrics metrics;
+    ModelTable table { clock, random };
+    std::vector<ModelPool> pools;
+    std::vector<std::unique_ptr<ModelHolder>> frozen; ///< without a lease, with calls on the way
+    std::vector<FleetConfig> configs; ///< by version, the first is 1
+    milliseconds registrationTime { 60'000 };
+    std::string violation; ///< the first start that exceeded a cap
+
+    CapModel(const CapModel&) = delete;
+    CapModel& operator=(const CapModel&) = delete;
+
+    int draw(int count) { return std::uniform_int_distribution<>(0, count - 1)(random); }
+
+    /// Adds a configuration; holders get it by applyConfig().
+    void configure(const std::map<std::string, Resources>& caps)
+    {
+        FleetConfig config;
+        config.rowVersion = configs.size() + 1;
+        for (const auto& [name, cap] : caps) {
+            Organisation organisation;
+            organisation.name = name;
+            organisation.cap = cap;
+            config.organisations.emplace(name, organisation);
+        }
+        configs.push_back(config);
+    }
+
+    void applyConfig(ModelHolder& holder)
+    {
+        holder.configVersion = configs.size();
+        holder.ledger->applyConfig(configs.back());
+    }
+
+    void begin(ModelPool& pool, std::uint64_t term)
+    {
+        pool.holder = std::make_unique<ModelHolder>();
+        auto& holder = *pool.holder;
+        holder.state.pool = pool.name;
+        holder.state.term = term;
+        if (term > 0) {
+            holder.state.recoveryDeadline = recoveryDeadlineAfter(holder.state.limits, clock.now());
+            holder.state.earlierStartsUntil = clock.now() + holder.state.limits.maxCommandDelay;
+        }
+        pool.knownRuns = 0;
+        holder.ledger
+            = std::make_unique<CapLedger>(loop.base(), table, clock, metrics, holder.state, registrationTime,
+                CapLedger::Callbacks { [&holder] { return holder.isLeaseValid; },
+                    [this] {
+                        std::set<std::string> names;
+                        for (const auto& other : pools)
+                            names.insert(other.name);
+                        return names;
+                    },
+                    [] {} });
+        applyConfig(holder);
+    }
+
+    /// The pool's holder loses its lease; \p isKilled: its calls get no response.
+    void loseHolder(ModelPool& pool, bool isKilled)
+    {
+        pool.holder->isLeaseValid = false;
+        if (!isKilled)
+            frozen.push_back(std::move(pool.holder));
+        pool.holder.reset();
+    }
+
+    /// A new holder learns of a run of earlier ones, or of the last one.
+    void learnRun(ModelPool& pool)
+    {
+        auto& state = pool.holder->state;
+        if (pool.knownRuns < pool.runs.size()) {
+            const auto& run = pool.runs[pool.runs.size() - 1 - pool.knownRuns++];
+            addRunToCaps(state, jobOf(run.organisation, true), stepOf(run.need), 1);
+        }
+        state.haveAllVmsReported = pool.knownRuns == pool.runs.size();
+    }
+
+    void start(ModelPool& pool, const ModelStart& start)
+    {
+        for (int i = 0; i < start.together; ++i) {
+            // Before those that the holder does not know, which endRun() does not end.
+            pool.runs.push_back({ start.organisation, start.need, pool.holder->state.term });
+            ++pool.knownRuns;
+            addRunToCaps(pool.holder->state, jobOf(start.organisation, false), stepOf(start.need), 1);
+        }
+        check(start);
+    }
+
+    void endRun(ModelPool& pool)
+    {
+        if (!pool.holder || pool.knownRuns == 0)
+            return;
+        const auto index
+            = pool.runs.size() - 1 - static_cast<std::size_t>(draw(static_cast<int>(pool.knownRuns)));
+        const auto run = pool.runs[index];
+        pool.runs.erase(pool.runs.begin() + static_cast<std::ptrdiff_t>(index));
+        --pool.knownRuns;
+        const bool isEarlier = run.term < pool.holder->state.term;
+        removeRunFromCaps(pool.holder->state, jobOf(run.organisation, isEarlier), stepOf(run.need), 1);
+    }
+
+    /// A planning pass of each holder.
+    void pass()
+    {
+        table.run();
+        for (auto& pool : pools) {
+            if (!pool.holder)
+                continue;
+            auto& state = pool.holder->state;
+            expireUnknownRuns(pool);
+            beginCapPass(state, true, clock.now());
+            std::erase_if(pool.waiting, [&](const ModelStart& waiting) {
+                if (!hasShareFor(state, jobOf(waiting.organisation, false), stepOf(waiting.need),
+                        waiting.together, waiting.together))
+                    return false;
+                start(pool, waiting);
+                return true;
+            });
+            pool.holder->ledger->update();
+        }
+        clock.advance(milliseconds(10));
+    }
+
+    void passes(milliseconds time)
+    {
+        for (const auto until = clock.now() + time; clock.now() < until;)
+            pass();
+    }
+
+    /// What runs of the organisation in all pools.
+    Resources running(const std::string& organisation) const
+    {
+        Resources out;
+        for (const auto& pool : pools) {
+            for (const auto& run : pool.runs) {
+                if (run.organisation == organisation)
+                    out += run.need;
+            }
+        }
+        return out;
+    }
+
+    Resources shareOf(const std::string& organisation, const std::string& pool) const
+    {
+        const auto row = table.rows.find(capRowKey(organisation));
+        return row == table.rows.end() ? Resources {}
+                                       : decodeCapRow(row->second.value)->at(organisation).pools[pool].share;
+    }
+
+private:
+    static JobEntry jobOf(const std::string& organisation, bool isRecovered)
+    {
+        JobEntry out;
+        out.spec.organisation = organisation;
+        out.isRecovered = isRecovered;
+        return out;
+    }
+
+    static StepSpec stepOf(const Resources& need)
+    {
+        StepSpec out;
+        out.need = need;
+        return out;
+    }
+
+    /// Ends the runs that the holder has not learned of, once their VMs' leases have expired.
+    void expireUnknownRuns(ModelPool& pool)
+    {
+        if (!areEarlierRunsKnown(pool.holder->state, clock.now()))
+            return;
+        const auto unknown = pool.runs.size() - pool.knownRuns;
+        pool.runs.erase(pool.runs.begin(), pool.runs.begin() + static_cast<std::ptrdiff_t>(unknown));
+    }
+
+    /// Hands a row to the holders that follow the table.
+    void publish(const TableRow& row)
+    {
+        for (auto& pool : pools) {
+            auto* holder = pool.holder.get();
+            table.after([this, &pool, holder, row] {
+                if (pool.holder.get() == holder && holder)
+                    holder->ledger->applyRow(row);
+            });
+        }
+    }
+
+    /// Compares what runs with the highest cap of the configurations that may be in force.
+    void check(const ModelStart& start)
+    {
+        Version oldest = configs.size();
+        for (const auto& pool : pools) {
+            if (pool.holder)
+                oldest = std::min(oldest, pool.holder->configVersion);
+        }
+        const auto sum = running(start.organisation);
+        forEachResource([&](auto member) {
+            std::int64_t most = 0;
+            for (auto version = std::max<Version>(oldest, 1); version <= configs.size(); ++version) {
+                const auto& organisations = configs[version - 1].organisations;
+                const auto found = organisations.find(start.organisation);
+                const auto cap = found == organisations.end() ? 0 : found->second.cap.*member;
+                most = std::max(most, cap == 0 ? std::numeric_limits<std::int64_t>::max() : cap);
+            }
+            if (start.need.*member > 0 && sum.*member > most && violation.empty())
+                violation = start.organisation + " runs " + std::to_string(sum.*member) + " of "
+                    + std::to_string(most);
+        });
+    }
+};
+
+} // namespace damask::fleet
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -215,6 +215,7 @@
     if (m_config && row.version <= m_configRowVersion)
         return;
     m_configRowVersion = row.version;
+    config->rowVersion = row.version;
     m_config = std::make_shared<const FleetConfig>(std::move(*config));
     logEvent(LogLevel::Info, "config_applied",
         { { "version", std::to_string(m_config->version) },
@@ -225,6 +226,7 @@
         holder->applyConfig(*m_config);
     if (m_coordinator)
         m_coordinator->applyConfig(*m_config);
+    followCaps();
 }
 
 void FleetNode::updatePools()
@@ -311,14 +313,26 @@
     }
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
         *m_adapter.machines, *m_adapter.advice, m_directory, [this] { return areViewsFresh(); },
-        m_settings.maxRowBytes };
+        m_settings.maxRowBytes, m_settings.configApplyTime };
     m_holders[pool] = std::make_unique<PoolHolder>(
         context, pool, lease, m_leaseTiming, m_settings.maxLease, [this] { beginReadyHolders(); },
         [this, pool] { m_endedHolders.push_back(pool); });
     m_jobRows.setPauseAfterChanges(holderPause);
+    followCaps();
     beginReadyHolders();
 }
 
+void FleetNode::followCaps()
+{
+    if (m_capRows || m_holders.empty() || !m_config || !hasCaps(*m_config))
+        return;
+    m_capRows = followCapRows(
+        m_loop.base(), *m_adapter.table, m_clock, m_metrics, m_seed + 7, [this](const TableRow& row) {
+            for (auto& [pool, holder] : m_holders)
+                holder->applyCapRow(row);
+        });
+}
+
 bool FleetNode::areViewsFresh()
 {
     const auto now = m_clock.now();
@@ -382,8 +396,10 @@
         m_coordinatorEnded = false;
         m_controlRows.setPauseAfterChanges(controlTablePause);
     }
-    if (m_holders.empty())
+    if (m_holders.empty()) {
+        m_capRows.reset();
         m_jobRows.setPauseAfterChanges(observerPause);
+    }
 }
 
 bool FleetNode::hasRecentContact(milliseconds maxAge) const
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -75,6 +75,17 @@
     return out;
 }
 
+/// Within which a pool records what it uses of an organisation's cap, or its runs have ended without a
+/// holder.
+milliseconds registrationTime(
+    milliseconds configApplyTime, const LeaseTiming& leaseTiming, milliseconds maxVmLease)
+{
+    PoolLimits limits;
+    limits.maxVmLease = maxVmLease;
+    const auto runsEndAfter = recoveryDeadlineAfter(limits, TimePoint {}).time_since_epoch();
+    return configApplyTime + leaseTiming.expiry + std::chrono::ceil<milliseconds>(runsEndAfter);
+}
+
 } // namespace
 
 PoolHolder::PoolHolder(HolderContext context, std::string pool, AcquiredLease lease, LeaseTiming leaseTiming,
@@ -95,6 +106,10 @@
                   m_onEnd();
               },
               [this](const LedgerBatch& batch) { onRejected(batch); } })
+    , m_caps(context.base, context.table, context.clock, context.metrics, m_state,
+          registrationTime(context.configApplyTime, leaseTiming, maxVmLease),
+          { [this] { return m_ledger.isLeaseValid(); }, [this] { return poolsInUse(); },
+              [this] { scheduleReconcile(reconcileDelay); } })
     , m_advisor(context.advice, m_state, context.clock, context.metrics,
           [this] { scheduleReconcile(reconcileDelay); })
     , m_specReader(context.base, context.table, context.metrics,
@@ -197,9 +212,25 @@
     applyQueues(m_state, config.queues);
     const auto pool = config.pools.find(m_state.pool);
     m_state.enforcesCapacity = pool != config.pools.end() && pool->second.enforcesCapacity;
+    if (m_begun)
+        m_caps.applyConfig(config);
     scheduleReconcile(reconcileDelay);
 }
 
+void PoolHolder::applyCapRow(const TableRow& row)
+{
+    if (m_begun)
+        m_caps.applyRow(row);
+}
+
+std::set<std::string> PoolHolder::poolsInUse() const
+{
+    auto pools = m_context.directory.poolsWithUnfinishedJobs();
+    for (const auto& [name, queue] : m_state.queues)
+        pools.insert(queue.pool);
+    return pools;
+}
+
 void PoolHolder::applyJob(const std::string& id, const JobRecord& record)
 {
     if (!m_begun || record.pool != m_state.pool || !record.isAccepted())
@@ -363,6 +394,7 @@
         sendStarts(now, isFullPlan ? PlanScope::Everything : PlanScope::RoomOnly);
         m_advisor.requestNext();
     }
+    m_caps.update();
     raiseTokenIfRequired(vms, now);
     sendHeartbeats(vms, now);
     logRunEvents();
--- /dev/null
+++ b/src/libscheduler/cap_shares_test.cpp
@@ -0,0 +1,142 @@
+/// Rows of caps, and what a pool's runs count against its shares.
+#include "pool_fixture_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damask;
+using namespace damask::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct CapFixture : PoolFixture {
+    CapFixture() { addVm("v1", 100'000); }
+
+    void submitFor(const std::string& organisation, const std::string& id, int count, bool isGang = false)
+    {
+        auto step = makeStep(count);
+        step.gang = isGang;
+        auto job = makeJob(id, { step });
+        job.organisation = organisation;
+        addJob(state, job, "", false);
+    }
+
+    OrganisationUse& use(const std::string& organisation) { return useOf(state.caps, organisation); }
+    void allow(const std::string& organisation, std::int64_t cpu)
+    {
+        use(organisation).allowed = Resources { cpu, 1'000'000, 0 };
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(cap_shares, CapFixture)
+
+BOOST_AUTO_TEST_CASE(rowsCanBeReadBack)
+{
+    CapRow row;
+    row["acme"] = { 7, { 1000, 0, 2 }, true, { { "p1", { { 1, 2, 3 }, { 4, 5, 6 }, 8 } } } };
+    BOOST_TEST((decodeCapRow(encodeCapRow(row)) == row));
+    for (const auto* text :
+        { "", "[]", R"({"acme":1})", R"({"acme":{"version":1,"cap":[1,2],"complete":true,"pools":{}}})",
+            R"({"acme":{"version":1,"cap":[1,2,-3],"complete":true,"pools":{}}})" })
+        BOOST_TEST(!decodeCapRow(text).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(stepWithoutShareHoldsBackNoOther)
+{
+    allow("acme", 3000);
+    submitFor("acme", "a1", 5);
+    submitFor("acme", "a2", 4, true);
+    submitFor("bolt", "b1", 5);
+    submitFor("", "c1", 5);
+    BOOST_TEST(starts().size() == 13U); // 3 of a1, no member of a2
+    BOOST_TEST(use("acme").runs.cpu == 3000);
+    BOOST_TEST(use("acme").waiting.cpu == 6000);
+    BOOST_TEST(use("acme").smallestStart.cpu == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(gangStartsWholeOnceItsShareIsThere)
+{
+    allow("acme", 3999);
+    submitFor("acme", "a1", 4, true);
+    BOOST_TEST(starts().empty());
+    BOOST_TEST(use("acme").smallestStart.cpu == 4000);
+    allow("acme", 4000);
+    BOOST_TEST(starts().size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(runCountsUntilItsEndIsKnown)
+{
+    allow("acme", 4000);
+    submitFor("acme", "a1", 2);
+    const auto started = startAndAccept();
+    BOOST_REQUIRE(started.size() == 2U);
+    BOOST_TEST(use("acme").runs.cpu == 2000);
+    cancelJob(state, "a1");
+    planStops(state, clock.now());
+    starts();
+    BOOST_TEST(use("acme").runs.cpu == 2000);
+    report("v1", { { 1, started[0].command.task, started[0].command.run, EndKind::Stopped, "" } });
+    BOOST_TEST(use("acme").runs.cpu == 1000);
+    BOOST_TEST(use("acme").ownRuns.cpu == 1000);
+}
+
+// The start got no response, and the VM is gone; a late command may still start the task elsewhere.
+BOOST_AUTO_TEST_CASE(releasedStartCountsUntilItCanNoLongerBeCarriedOut)
+{
+    allow("acme", 4000);
+    submitFor("acme", "a1", 1);
+    const auto started = starts();
+    BOOST_REQUIRE(started.size() == 1U);
+    const auto& command = started[0].command;
+    findTask(state, command.task)->run->sentAt = clock.now();
+    applyStartOutcome(state, "v1", command.task, command.run, CommandOutcome::Unknown, clock.now());
+    const auto sentAt = clock.now();
+    unlistVm(state, "v1");
+    markUnresponsive(state, "v1");
+    while (use("acme").runs.cpu > 0 && clock.now() < sentAt + 20s) {
+        advance(100ms);
+        expireLeases(state, clock.now());
+    }
+    starts();
+    BOOST_TEST(use("acme").runs.cpu == 0);
+    BOOST_TEST((clock.now() < sentAt + state.limits.maxCommandDelay));
+    BOOST_TEST(usedBy(state.caps, use("acme")).cpu == 1000);
+    advance(state.limits.maxCommandDelay);
+    starts();
+    BOOST_TEST(usedBy(state.caps, use("acme")).cpu == 0);
+}
+
+BOOST_AUTO_TEST_CASE(orphanRunCounts)
+{
+    allow("acme", 4000);
+    submitFor("acme", "a1", 1);
+    const auto started = startAndAccept();
+    BOOST_REQUIRE(started.size() == 1U);
+    addVm("v2");
+    VmReport other;
+    other.vmClock = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch());
+    other.bootTime = 1;
+    other.running.push_back({ started[0].command.task, started[0].command.run + 1, "", 0, 0 });
+    applyReport(state, "v2", other, clock.now(), clock.now());
+    starts();
+    BOOST_TEST(usedBy(state.caps, use("acme")).cpu == 2000);
+}
+
+BOOST_AUTO_TEST_CASE(inheritedShareAndOwnRunsCountUntilTheRecoveryIsComplete)
+{
+    state.term = 1;
+    state.recoveryDeadline = recoveryDeadlineAfter(state.limits, clock.now());
+    state.earlierStartsUntil = clock.now() + state.limits.maxCommandDelay;
+    state.platformVms.emplace(std::set<std::string> { "v1", "v9" });
+    allow("acme", 5000);
+    use("acme").inherited = { 3000, 0, 0 };
+    submitFor("acme", "a1", 5);
+    BOOST_TEST(starts().size() == 2U);
+    advance(state.limits.maxCommandDelay);
+    report("v1");
+    BOOST_TEST(starts().size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -83,6 +83,8 @@
         const TaskId id { job.spec.id, waiting.occurrence, waiting.step, static_cast<int>(i) };
         if (blocks.orphanTasks.contains(id))
             continue;
+        if (!hasShareFor(state, job, stepOf(job, waiting.step), 1, static_cast<int>(step.tasks.size() - i)))
+            return;
         auto* vm = task.isSuspect ? chooseTrialVm(state, job, id, TrialShare::Half, now)
                                   : chooseVm(state, job, id, waited, now);
         if (!vm && task.isSuspect) {
@@ -143,6 +145,9 @@
         if (!task.checkpoint.empty())
             checkpoint = task.checkpoint;
     }
+    const auto members = static_cast<int>(step.tasks.size());
+    if (!hasShareFor(state, job, stepOf(job, waiting.step), members, members))
+        return;
     const auto trial = gangTrialLength(step, state.limits);
     const bool wasDirty = job.dirty;
     const bool hadUnrecordedTrial = job.hasUnrecordedTrial;
@@ -214,6 +219,8 @@
             return;
         if (!isWaiting(task, hasUnknownRuns) || blocks.orphanTasks.contains(id))
             continue;
+        if (!hasShareFor(state, job, stepOf(job, waiting.step), 1, 1))
+            return;
         auto* vm = chooseTrialVm(state, job, id, TrialShare::All, now);
         if (vm)
             out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint,
@@ -406,6 +413,7 @@
     dropStaleReservations(state, now);
     updateWaitingSteps(state, blocks, wallNow);
     updateChangedRooms(state, now);
+    beginCapPass(state, scope == PlanScope::Everything, now);
     if (scope == PlanScope::Everything)
         state.stepsNeedingTickets.clear();
     std::vector<StartAction> out;
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -187,6 +187,7 @@
 {
     auto& job = state.jobs.find(id.job)->second;
     vm.used += reservedBy(stepOf(job, id.step));
+    addRunToCaps(state, job, stepOf(job, id.step), run.number);
     vm.runs.insert(id);
     updateRoom(state, vm);
     markChanged(state, vm);
@@ -222,6 +223,7 @@
         updateRoom(state, vm->second);
         markChanged(state, vm->second);
     }
+    removeRunFromCaps(state, job, stepOf(job, id.step), task.run->number);
     markChanged(state, job);
     task.run.reset();
 }
@@ -238,7 +240,7 @@
 namespace {
 
 /// Records that the start of a run that is being released may still be carried out.
-void recordUnsettledStart(PoolState& state, const RunState& run, RunEventKind kind)
+void recordUnsettledStart(PoolState& state, const TaskId& id, const RunState& run, RunEventKind kind)
 {
     const bool isUnsent = run.sentAt == TimePoint {} || kind == RunEventKind::StartRejected;
     const auto vm = state.vms.find(run.vm);
@@ -246,6 +248,8 @@
         return;
     auto& until = vm->second.unsettledStartsUntil;
     until = std::max(until, run.sentAt + state.limits.maxCommandDelay);
+    const auto& job = state.jobs.find(id.job)->second;
+    addUnsettledStart(state, job, stepOf(job, id.step), run.sentAt + state.limits.maxCommandDelay);
 }
 
 } // namespace
@@ -254,7 +258,7 @@
 {
     if (task.run) {
         state.runEvents.push_back({ task.run->vm, id, task.run->number, kind });
-        recordUnsettledStart(state, *task.run, kind);
+        recordUnsettledStart(state, id, *task.run, kind);
     }
     releaseRun(state, id, task);
 }
