Cut holders off from the table in the model of caps

Cause: a mutant that treats a write of unknown outcome as without effect passed all tests: the model's holders learned of their writes too soon. Change: the model delays rows by up to 2 s and cuts holders off; a test gives share back and loses the response. After: the mutant fails shareThatMayHaveBeenGivenBackIsNotUsed; unchanged code passes all of cap_ledger.

--- a/src/libfleet/cap_ledger_test.cpp
+++ b/src/libfleet/cap_ledger_test.cpp
@@ -64,8 +64,10 @@
         model.learnRun(pool);
     } else if (event < 94) {
         drawConfig(model);
-    } else if (event < 97 && pool.holder) {
+    } else if (event < 96 && pool.holder) {
         model.applyConfig(*pool.holder);
+    } else if (event == 96 && pool.holder) {
+        pool.holder->link->isCut = !pool.holder->link->isCut;
     } else if (event == 97) {
         model.table.isDown = !model.table.isDown;
     } else {
@@ -82,6 +84,7 @@
     CapModel model(seed, 4);
     model.table.faults = 0.25;
     model.table.latency = 150ms;
+    model.followDelay = 2s;
     drawConfig(model);
     for (auto& pool : model.pools)
         model.begin(pool, 0);
@@ -150,6 +153,29 @@
     BOOST_TEST(model.violation == "");
 }
 
+// The holder of a pool gives share back and is cut off before it gets the response.
+BOOST_AUTO_TEST_CASE(shareThatMayHaveBeenGivenBackIsNotUsed)
+{
+    for (unsigned seed = 0; seed < 20; ++seed) {
+        CapModel model(seed, 2);
+        beginAll(model);
+        addWaiting(model, 0, 1, 30);
+        model.passes(2s);
+        while (model.pools[0].knownRuns > 0)
+            model.endRun(model.pools[0]);
+        addWaiting(model, 1, 1, 30);
+        const auto before = model.shareOf("acme", "p0").cpu;
+        while (model.shareOf("acme", "p0").cpu == before)
+            model.pass();
+        model.pools[0].holder->link->isCut = true;
+        model.passes(1s);
+        BOOST_TEST(model.running("acme").cpu == 30 * task.cpu);
+        addWaiting(model, 0, 30);
+        model.passes(1s);
+        BOOST_TEST(model.violation == "");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(usualLoadNeedsFewWritesAndWaitsForNone)
 {
     CapModel model(1, 8);
--- a/src/libfleet/cap_model_test.h
+++ b/src/libfleet/cap_model_test.h
@@ -117,6 +117,41 @@
     std::multimap<TimePoint, std::function<void()>> m_events;
 };
 
+/// A holder's way to the table.
+class ModelLink final : public SharedTable {
+public:
+    explicit ModelLink(ModelTable& table)
+        : m_table(table)
+    {
+    }
+
+    bool isCut = false; ///< calls fail without an effect, and responses are lost
+
+    void commit(
+        const TableTransaction& transaction, milliseconds timeout, TableCallback<Version> callback) override
+    {
+        if (isCut)
+            return m_table.after([callback] { callback(tl::make_unexpected(TableFailure::NotApplied)); });
+        m_table.commit(transaction, timeout, [this, callback](const TableResult<Version>& result) {
+            callback(isCut ? tl::make_unexpected(TableFailure::Unknown) : result);
+        });
+    }
+
+    void read(const std::string& table, const std::string& part, const std::string& from, int limit,
+        TableCallback<TableRows> callback) override
+    {
+        if (isCut)
+            return m_table.after([callback] { callback(tl::make_unexpected(TableFailure::TimedOut)); });
+        m_table.read(table, part, from, limit, std::move(callback));
+    }
+
+    void parts(const std::string&, const std::string&, TableCallback<std::vector<std::string>>) override { }
+    void follow(const std::string&, Version, milliseconds, TableCallback<TableRows>) override { }
+
+private:
+    ModelTable& m_table;
+};
+
 /// A start that a pool waits for.
 struct ModelStart {
     std::string organisation;
@@ -137,6 +172,7 @@
     PoolState state;
     bool isLeaseValid = true;
     Version configVersion = 0;
+    std::shared_ptr<ModelLink> link;
     std::unique_ptr<CapLedger> ledger;
 };
 
@@ -164,8 +200,10 @@
     Metrics metrics;
     ModelTable table { clock, random };
     std::vector<ModelPool> pools;
+    std::vector<std::shared_ptr<ModelLink>> links; ///< of all holders, those of killed ones too
     std::vector<std::unique_ptr<ModelHolder>> frozen; ///< without a lease, with calls on the way
     std::vector<FleetConfig> configs; ///< by version, the first is 1
+    milliseconds followDelay { 60 }; ///< longest time until a holder has a row that another has written
     milliseconds registrationTime { 60'000 };
     std::string violation; ///< the first start that exceeded a cap
 
@@ -198,6 +236,7 @@
     {
         pool.holder = std::make_unique<ModelHolder>();
         auto& holder = *pool.holder;
+        holder.link = links.emplace_back(std::make_shared<ModelLink>(table));
         holder.state.pool = pool.name;
         holder.state.term = term;
         if (term > 0) {
@@ -205,16 +244,16 @@
             holder.state.earlierStartsUntil = clock.now() + holder.state.limits.maxCommandDelay;
         }
         pool.knownRuns = 0;
-        holder.ledger
-            = std::make_unique<CapLedger>(loop.base(), table, clock, metrics, holder.state, registrationTime,
-                CapLedger::Callbacks { [&holder] { return holder.isLeaseValid; },
-                    [this] {
-                        std::set<std::string> names;
-                        for (const auto& other : pools)
-                            names.insert(other.name);
-                        return names;
-                    },
-                    [] {} });
+        holder.ledger = std::make_unique<CapLedger>(loop.base(), *holder.link, clock, metrics, holder.state,
+            registrationTime,
+            CapLedger::Callbacks { [&holder] { return holder.isLeaseValid; },
+                [this] {
+                    std::set<std::string> names;
+                    for (const auto& other : pools)
+                        names.insert(other.name);
+                    return names;
+                },
+                [] {} });
         applyConfig(holder);
     }
 
@@ -340,10 +379,12 @@
     {
         for (auto& pool : pools) {
             auto* holder = pool.holder.get();
-            table.after([this, &pool, holder, row] {
-                if (pool.holder.get() == holder && holder)
-                    holder->ledger->applyRow(row);
-            });
+            table.after(
+                [this, &pool, holder, row] {
+                    if (pool.holder.get() == holder && holder && !holder->link->isCut)
+                        holder->ledger->applyRow(row);
+                },
+                milliseconds(1 + draw(static_cast<int>(followDelay.count()))));
         }
     }
 
