--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -222,6 +222,7 @@
         return;
     m_configRowVersion = row.version;
     auto keys = CallerKeys::takeFrom(*config);
+    config->rowVersion = row.version;
     m_config = std::make_shared<const FleetConfig>(std::move(*config));
     logEvent(LogLevel::Info, "config_applied",
         { { "version", std::to_string(m_config->version) },
@@ -236,6 +237,7 @@
         holder->applyConfig(*m_config);
     if (m_coordinator)
         m_coordinator->applyConfig(*m_config);
+    followCaps();
 }
 
 void FleetNode::updatePools()
@@ -322,14 +324,26 @@
     }
     HolderContext context { m_loop.base(), m_clock, m_metrics, *m_adapter.table, *m_adapter.endpoints,
         *m_adapter.machines, *m_adapter.advice, m_directory, [this] { return areViewsFresh(); },
-        m_settings.maxRowBytes, m_settings.farSlowdown };
+        m_settings.maxRowBytes, m_settings.farSlowdown, m_settings.configApplyTime };
     m_holders[pool] = std::make_unique<PoolHolder>(
         context, pool, lease, m_leaseTiming, m_settings.maxLease, [this] { beginReadyHolders(); },
         [this, pool] { m_endedHolders.push_back(pool); });
     updateRole();
+    followCaps();
     beginReadyHolders();
 }
 
+void FleetNode::followCaps()
+{
+    if (m_capRows || m_holders.empty() || !m_config || !hasCaps(*m_config))
+        return;
+    m_capRows = followCapRows(
+        m_loop.base(), *m_adapter.table, m_clock, m_metrics, m_seed + 9, [this](const TableRow& row) {
+            for (auto& [pool, holder] : m_holders)
+                holder->applyCapRow(row);
+        });
+}
+
 bool FleetNode::areViewsFresh()
 {
     const auto now = m_clock.now();
@@ -392,6 +406,8 @@
         m_loadRows.reset();
         m_coordinatorEnded = false;
     }
+    if (m_holders.empty())
+        m_capRows.reset();
     updateRole();
 }
 
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -85,6 +85,8 @@
         const TaskId id { job.spec.id, waiting.occurrence, waiting.step, static_cast<int>(i) };
         if (blocks.orphanTasks.contains(id))
             continue;
+        if (!hasShareFor(state, job, stepOf(job, waiting.step), 1, static_cast<int>(step.tasks.size() - i)))
+            return;
         const auto choice = task.isSuspect
             ? RackChoice { chooseTrialVm(state, job, id, TrialShare::Half, now) }
             : chooseByLocality(state, locality, job, id, now, wallNow);
@@ -149,6 +151,9 @@
         if (!task.checkpoint.empty())
             checkpoint = task.checkpoint;
     }
+    const auto members = static_cast<int>(step.tasks.size());
+    if (!hasShareFor(state, job, stepOf(job, waiting.step), members, members))
+        return;
     const auto trial = gangTrialLength(step, state.limits);
     const auto locality
         = trial.count() > 0 ? StepLocality {} : planLocality(state, job, waiting, now, wallNow);
@@ -227,6 +232,8 @@
             return;
         if (!isWaiting(task, hasUnknownRuns) || blocks.orphanTasks.contains(id))
             continue;
+        if (!hasShareFor(state, job, stepOf(job, waiting.step), 1, 1))
+            return;
         auto* vm = chooseTrialVm(state, job, id, TrialShare::All, now);
         if (vm)
             out.push_back(startRun(state, job, id, task, *vm, nextRun(state, job, task), task.checkpoint,
@@ -256,10 +263,12 @@
     for (const auto& straggler : findStragglers(state, now)) {
         if (out.size() >= maxStarts)
             return;
+        auto& job = state.jobs.find(straggler.task.job)->second;
+        if (!hasShareFor(state, job, stepOf(job, straggler.task.step), 1, 0))
+            continue;
         auto* vm = chooseCopyVm(state, straggler, now);
         if (!vm)
             continue;
-        auto& job = state.jobs.find(straggler.task.job)->second;
         auto& task = *findTask(state, straggler.task);
         const auto number = nextRun(state, job, task);
         state.runEvents.push_back({ vm->entry.id, straggler.task, number, RunEventKind::Copied });
@@ -439,6 +448,7 @@
     dropStaleReservations(state, now);
     updateWaitingSteps(state, blocks, wallNow);
     updateChangedRooms(state, now);
+    beginCapPass(state, scope == PlanScope::Everything, now);
     if (scope == PlanScope::Everything)
         state.stepsNeedingTickets.clear();
     std::vector<StartAction> out;
