Test that copies of stragglers stay within the cap of their organisation

Cause: copies and caps were built side by side; the merge lets a copy start only within the pool's share, and asks no other pool for share on its behalf. Ruled out: waiting for share like a first run, which takes it from work. Before and after: copiesStayWithinTheCapOfTheOrganisation, new. Conclusion: a copy counts as a run until its end is listed.

--- a/src/libscheduler/run_copies_test.cpp
+++ b/src/libscheduler/run_copies_test.cpp
@@ -83,6 +83,32 @@
     BOOST_TEST(plan().empty());
 }
 
+BOOST_AUTO_TEST_CASE(copiesStayWithinTheCapOfTheOrganisation)
+{
+    submit("job", { speculativeStep(4) });
+    auto& job = state.jobs.at("job");
+    job.spec.organisation = "o";
+    const auto need = stepOf(job, 0).need;
+    auto& use = useOf(state.caps, "o");
+    const auto started = plan();
+    advance(1s);
+    for (std::size_t i = 1; i < started.size(); ++i)
+        end(started[i].vm, started[i].command.task, EndKind::Done);
+    advance(2s);
+    use.allowed = need;
+    BOOST_TEST(plan().empty());
+    BOOST_TEST((use.waiting == Resources {})); // no other pool gives share for a copy
+    *use.allowed += need;
+    advance(1s);
+    const auto copies = plan();
+    BOOST_REQUIRE(copies.size() == 1);
+    BOOST_TEST((use.runs == *use.allowed));
+    end(copies[0].vm, copies[0].command.task, EndKind::Done);
+    BOOST_TEST((use.runs == need)); // the first run, until its end is listed
+    end(started[0].vm, started[0].command.task, EndKind::Stopped);
+    BOOST_TEST((use.runs == Resources {}));
+}
+
 BOOST_AUTO_TEST_CASE(slowProgressShowsAStragglerBeforeItsEstimate)
 {
     submit("job", { speculativeStep(2) });
