Scale a queue's estimates by what its steps have taken

Cause: a step takes as long as its longest task, its estimate is that of an average one. So under shortage jobs counted as late while they could still be in time, and went behind all others with their first step done.

Change: the median ratio of a step's time and its estimate, by queue, scales estimate and objective of later jobs. A job keeps the factor that it was accepted with, so the index of waiting steps changes as little as before.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -12,6 +12,7 @@
 #include <damaskworks/job.h>
 #include <damaskworks/load_sums.h>
 #include <damaskworks/record_rows.h>
+#include <damaskworks/step_times.h>
 #include <damaskworks/vm_room.h>
 #include <damaskworks/waiting_steps.h>
 
@@ -106,6 +107,7 @@
 struct StepState {
     std::vector<TaskState> tasks;
     int doneTasks = 0;
+    milliseconds longestRun { 0 }; ///< of its done tasks, as far as this holder has seen them
     StepAdvice advice;
 };
 
@@ -133,6 +135,7 @@
     EndedOccurrences endedOccurrences; ///< of a scheduled job; their tasks have no state any more
     RecordRows record;
     milliseconds criticalPath { 0 }; ///< see criticalPathLength()
+    double timeFactor = 1; ///< of its estimates, see stepTimeFactor()
     TimePoint firstStartAt {}; ///< first start command of this holder; zero: none yet
     PendingReaders pendingReaders = 0; ///< in PoolState::changedJobs
     std::uint32_t changeCount = 0; ///< calls of markChanged()
@@ -335,6 +338,7 @@
     std::map<std::string, JobEntry, std::less<>> jobs; ///< that have not ended, by id
     std::map<std::string, VmState, std::less<>> vms; ///< by id
     std::deque<Arrival> arrivals; ///< within the last two arrival windows, oldest first
+    StepTimeFactors stepTimeFactors;
     /// The rate at which the holder can send starts has limited planStarts() for some time.
     bool areStartsLimited = false;
     std::vector<StepId> stepsNeedingTickets; ///< steps for which the last planStarts() found no usable VM
--- a/src/libscheduler/job_timing.cpp
+++ b/src/libscheduler/job_timing.cpp
@@ -9,6 +9,12 @@
 /// Multiple of its objective after which a job is overdue instead of late.
 constexpr int overdueFactor = 3;
 
+/// A time by the estimates, as the job's queue has taken in the past.
+milliseconds scaled(const JobEntry& job, milliseconds estimate)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * job.timeFactor));
+}
+
 /// Most jobs have fewer steps, for which no memory is allocated.
 constexpr std::size_t usualStepCount = 16;
 
@@ -25,7 +31,7 @@
             ends[i] += steps[i].estimate;
         longest = std::max(longest, ends[i]);
     }
-    return longest;
+    return scaled(job, longest);
 }
 
 } // namespace
@@ -39,10 +45,10 @@
 
 milliseconds objectiveDuration(const JobEntry& job, const Queue* queue)
 {
+    const auto path = scaled(job, job.criticalPath);
     if (!queue)
-        return job.criticalPath;
-    return milliseconds(
-               static_cast<std::int64_t>(static_cast<double>(job.criticalPath.count()) * queue->stretch))
+        return path;
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(path.count()) * queue->stretch))
         + queue->latencyTarget;
 }
 
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -52,7 +52,8 @@
     markChanged(state, job);
 }
 
-void finishTask(PoolState& state, JobEntry& job, const TaskId& id, TaskState& task)
+/// \p runTime is zero if this holder does not know it.
+void finishTask(PoolState& state, JobEntry& job, const TaskId& id, TaskState& task, milliseconds runTime)
 {
     if (task.done)
         return;
@@ -60,6 +61,9 @@
     task.done = true;
     auto& step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
     ++step.doneTasks;
+    step.longestRun = std::max(step.longestRun, runTime);
+    if (step.doneTasks == static_cast<int>(step.tasks.size()))
+        recordStepTime(state.stepTimeFactors, job.spec.queue, stepOf(job, id.step), step.longestRun);
     job.dirty = true;
     markChanged(state, job);
 }
@@ -129,6 +133,9 @@
     }
     task->lastRun = std::max(task->lastRun, end.run);
     keepCheckpoint(state, vm, end.task, *task, end.run, end.checkpoint);
+    milliseconds runTime { 0 };
+    if (isCurrentRun && task->run->confirmedAt != TimePoint {})
+        runTime = std::chrono::duration_cast<milliseconds>(now - task->run->confirmedAt);
     if (isCurrentRun)
         releaseRun(state, end.task, *task);
     switch (end.kind) {
@@ -137,7 +144,7 @@
         if (step.gang)
             finishGang(state, job, end.task);
         else if (!step.longRunning)
-            finishTask(state, job, end.task, *task);
+            finishTask(state, job, end.task, *task, runTime);
         completeIfDone(state, job);
         break;
     case EndKind::Failed:
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -44,6 +44,7 @@
         return true;
     JobEntry job;
     job.criticalPath = criticalPathLength(spec.steps);
+    job.timeFactor = stepTimeFactor(state.stepTimeFactors, spec.queue);
     job.spec = std::move(spec);
     job.hasSpec = job.spec.specBytes == 0;
     job.hasRecord = !progress.empty();
