Divide a short pool between organisations, and keep its last room for jobs in time

Cause: nothing in a pool knew whose work it runs, so one organisation that sends many times its usual took the room of all. And with a backlog, small tasks of late jobs took each bit of room that became free; tasks in time that need much of a VM became late as well.

Change: weighted dominant-resource fairness decides between organisations, priorities first; jobs beyond an organisation's rate come after all others; above three quarters of a pool's room late work and excess leave what becomes free to steps in time. The index has classes of its own for each organisation and the cursor compares their heads, so no entry moves with the shares.

Ruled out: reservations for the first task without room (1 to 16 of them: no gain); excess behind entitled work of its class only (late entitled work then waits for excess in time); smaller jobs first (loses in mild overload).

Tests: planning_index_test checks the sums and draws organisations; planning_cost_test has a case with organisations.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -9,6 +9,7 @@
 #include <damaskworks/deployment.h>
 #include <damaskworks/ended_occurrences.h>
 #include <damaskworks/endpoint_control.h>
+#include <damaskworks/fair_share.h>
 #include <damaskworks/job.h>
 #include <damaskworks/load_sums.h>
 #include <damaskworks/record_rows.h>
@@ -136,6 +137,8 @@
     RecordRows record;
     milliseconds criticalPath { 0 }; ///< see criticalPathLength()
     double timeFactor = 1; ///< of its estimates, see stepTimeFactor()
+    PartyNumber party = noParty; ///< its organisation in PoolState::shares
+    bool isExcess = false; ///< beyond what its organisation is entitled to, see countJob()
     TimePoint firstStartAt {}; ///< first start command of this holder; zero: none yet
     PendingReaders pendingReaders = 0; ///< in PoolState::changedJobs
     std::uint32_t changeCount = 0; ///< calls of markChanged()
@@ -338,6 +341,7 @@
     std::map<std::string, JobEntry, std::less<>> jobs; ///< that have not ended, by id
     std::map<std::string, VmState, std::less<>> vms; ///< by id
     std::deque<Arrival> arrivals; ///< within the last two arrival windows, oldest first
+    FairShares shares;
     StepTimeFactors stepTimeFactors;
     /// The rate at which the holder can send starts has limited planStarts() for some time.
     bool areStartsLimited = false;
--- a/src/include/damaskworks/vm_room.h
+++ b/src/include/damaskworks/vm_room.h
@@ -27,6 +27,7 @@
 struct IndexedRoom {
     RoomClass roomClass;
     std::int64_t freeCpu = 0; ///< that no run reserves, in thousandths of a core
+    Resources capacity;
     bool operator==(const IndexedRoom&) const = default;
 };
 
@@ -37,6 +38,7 @@
     /// Needs for which no VM has had room since room was last freed for them. None contains another.
     std::vector<Resources> failedNeeds;
     std::set<TimePoint> returnTimes; ///< at which VMs accept work again without an event
+    Resources capacity; ///< of the VMs in the index
     TimePoint updatedAt {}; ///< of the last update
 };
 
--- a/src/include/damaskworks/waiting_steps.h
+++ b/src/include/damaskworks/waiting_steps.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <damaskworks/clock.h>
+#include <damaskworks/fair_share.h>
 #include <damaskworks/job.h>
 
 #include <compare>
@@ -27,6 +28,7 @@
 
 /// A step with tasks that wait for a VM, ordered by the time at which it is planned.
 struct WaitingStep {
+    bool isExcess = false; ///< see JobEntry; never set for long-running tasks
     Urgency urgency = Urgency::InTime;
     int priority = 0; ///< of the queue, see Queue
     WallTime objective { 0 }; ///< time by which the occurrence should have ended
@@ -36,10 +38,12 @@
     auto operator<=>(const WaitingStep&) const = default;
 };
 
-/// Class of the steps whose tasks need similar resources: the classes of their CPU and memory by sizeClass().
+/// Class of the steps of an organisation whose tasks need similar resources: the classes of their CPU and
+/// memory by sizeClass().
 struct NeedClass {
     int cpu = 0;
     int memory = 0;
+    PartyNumber party = noParty;
     auto operator<=>(const NeedClass&) const = default;
 };
 
@@ -62,6 +66,7 @@
     NeedClass needClass;
     Resources need; ///< of a task
     WaitingStep step;
+    Resources waiting; ///< needs of all its waiting tasks, if they count in FairShares
 };
 
 /// Index of the waiting steps of a pool.
@@ -70,6 +75,9 @@
     /// Jobs whose entries change at a certain time without an event: a step becomes late or overdue, or the
     /// next occurrence becomes due.
     std::set<std::pair<WallTime, std::string>> jobsByTime;
+    // Of the steps that are not excess:
+    int inTimeSteps = 0; ///< with Urgency::InTime
+    int lateSteps = 0; ///< with Urgency::Late
     WallTime updatedAt { 0 }; ///< of the last update
     bool wasRecoveryComplete = false; ///< at the last update
 };
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -195,6 +195,7 @@
 void PoolHolder::applyConfig(const FleetConfig& config)
 {
     applyQueues(m_state, config.queues);
+    applyOrganisations(m_state.shares, config.organisations);
     const auto pool = config.pools.find(m_state.pool);
     m_state.enforcesCapacity = pool != config.pools.end() && pool->second.enforcesCapacity;
     scheduleReconcile(reconcileDelay);
@@ -486,6 +487,8 @@
             { "outstanding", std::to_string(outstandingStarts()) },
             { "command_ms", std::to_string(static_cast<int>(m_commandWindow.responseTime.count())) },
             { "starts_limited", m_state.areStartsLimited ? "yes" : "no" },
+            { "above_share", std::to_string(organisationsAboveShare(m_state.shares).size()) },
+            { "excess_jobs", std::to_string(m_state.shares.excessJobs) },
             { "held_for_record", std::to_string(heldBack.record) },
             { "held_for_spec", std::to_string(heldBack.spec) },
             { "held_for_trial", std::to_string(heldBack.trial) },
@@ -506,6 +509,10 @@
             { "planning_ms", toMilliseconds(std::exchange(m_timePlanningStarts, Duration {})) },
             { "load_ms", toMilliseconds(std::exchange(m_timeSummingLoad, Duration {})) } });
     m_state.work = {};
+    const auto label = "{pool=\"" + m_state.pool + "\"}";
+    m_context.metrics.gauge("organisations_above_share" + label,
+        static_cast<double>(organisationsAboveShare(m_state.shares).size()));
+    m_context.metrics.gauge("excess_jobs" + label, static_cast<double>(m_state.shares.excessJobs));
 }
 
 void PoolHolder::logWaitingTasks(TimePoint now)
--- a/src/libscheduler/planning_cost_test.cpp
+++ b/src/libscheduler/planning_cost_test.cpp
@@ -64,6 +64,7 @@
     QuarantinedVm,
     SmallVm, ///< with a little less CPU than the smallest task needs
     SpreadTasks, ///< of the jobs, every other one allows one task per VM
+    Organisations, ///< that share the pool
 };
 
 /// A VM whose memory a long-running task uses up.
@@ -77,8 +78,11 @@
     pool.submit("serving", { step });
 }
 
+constexpr int organisationCount = 20;
+
 void add(PoolFixture& pool, Beside beside)
 {
+    std::map<std::string, Organisation, std::less<>> organisations;
     switch (beside) {
     case Beside::VmWithoutMemory:
         return addVmWithoutMemory(pool);
@@ -88,6 +92,12 @@
         return;
     case Beside::SmallVm:
         return pool.addVm("xsmall", 990);
+    case Beside::Organisations:
+        for (int i = 0; i < organisationCount; ++i) {
+            const auto name = "o" + std::to_string(i);
+            organisations[name] = { name, {}, i % 2, 1.0 + i, {} };
+        }
+        return applyOrganisations(pool.state.shares, organisations);
     case Beside::SpreadTasks:
     case Beside::Nothing:
         return;
@@ -99,6 +109,8 @@
     auto job = shortJob(number);
     if (beside == Beside::SpreadTasks && number % 2 == 0)
         job.steps.front().maxPerVm = 1;
+    if (beside == Beside::Organisations)
+        job.organisation = "o" + std::to_string(number % organisationCount);
     return job;
 }
 
@@ -167,6 +179,8 @@
 
 BOOST_AUTO_TEST_CASE(vmWithAlmostEnoughCpuCostsNothing) { checkCostOfStarts(Beside::SmallVm); }
 
+BOOST_AUTO_TEST_CASE(sharesOfOrganisationsCostWhatChanges) { checkCostOfStarts(Beside::Organisations); }
+
 BOOST_AUTO_TEST_CASE(spreadTasksAreNotPlannedInEachPassWithoutRoom)
 {
     checkCostOfStarts(Beside::SpreadTasks);
--- a/src/libscheduler/planning_index_test.cpp
+++ b/src/libscheduler/planning_index_test.cpp
@@ -29,6 +29,7 @@
         urgent.name = "urgent";
         urgent.priority = -1;
         state.queues.emplace(urgent.name, urgent);
+        applyOrganisations(state.shares, drawOrganisations());
         if (term > 0)
             state.recoveryDeadline = clock.now() + 2s;
     }
@@ -58,8 +59,10 @@
             raiseToken();
         else if (event < 83)
             applyMachineList(state, {});
-        else if (event < 85)
+        else if (event < 84)
             changeQueues();
+        else if (event < 85)
+            applyOrganisations(state.shares, drawOrganisations());
         else
             advance(milliseconds(draw(event < 98 ? 60 : 3'000)));
     }
@@ -104,8 +107,12 @@
             BOOST_TEST(group.cpu.size() == group.steps.size());
             BOOST_TEST(group.memoryMb.size() == group.steps.size());
         }
+        checkShares(blocks);
         std::map<RoomClass, std::set<std::pair<std::int64_t, std::string>>> room;
+        Resources capacity;
         for (const auto& [id, vm] : state.vms) {
+            if (mayAcceptWork(vm))
+                capacity += vm.entry.capacity;
             if (mayAcceptWork(vm))
                 room[{ vm.entry.capacity.cpu, sizeClass(vm.entry.capacity.memoryMb - vm.used.memoryMb) }]
                     .emplace(vm.entry.capacity.cpu - vm.used.cpu, id);
@@ -113,6 +120,7 @@
             BOOST_TEST((vm.orphanRuns.empty() || state.orphanVms.contains(id)));
         }
         BOOST_TEST((room == state.vmRoom.byClass));
+        BOOST_TEST((capacity == state.vmRoom.capacity));
         for (const auto& [id, job] : state.jobs) {
             const bool isNoted = m_noted.contains(id) || (job.pendingReaders & visitsBit);
             BOOST_TEST((isNoted || (!job.dirty && !isFinal(job.state))), id << " is to be recorded");
@@ -123,6 +131,51 @@
     }
 
 private:
+    /// Compares the sums for the shares of organisations.
+    void checkShares(const StartBlocks& blocks)
+    {
+        std::vector<Resources> waiting(state.shares.parties.size());
+        std::vector<Resources> used(state.shares.parties.size());
+        int inTimeSteps = 0;
+        int lateSteps = 0;
+        Resources allUsed;
+        for (const auto& [id, job] : state.jobs) {
+            const auto party = static_cast<std::size_t>(job.party);
+            const auto steps = isFinal(job.state) ? std::vector<IndexedStep> {}
+                                                  : findWaitingSteps(state, job, blocks, wallNow);
+            for (const auto& step : steps) {
+                waiting[party] += step.waiting;
+                inTimeSteps += !step.step.isExcess && step.step.urgency == Urgency::InTime;
+                lateSteps += !step.step.isExcess && step.step.urgency == Urgency::Late;
+            }
+        }
+        for (const auto& [name, vm] : state.vms) {
+            allUsed += vm.used;
+            for (const auto& run : vm.runs) {
+                const auto& job = state.jobs.at(run.job);
+                if (!stepOf(job, run.step).longRunning)
+                    used[static_cast<std::size_t>(job.party)] += reservedBy(stepOf(job, run.step));
+            }
+        }
+        for (std::size_t i = 0; i < used.size(); ++i) {
+            BOOST_TEST((state.shares.parties[i].used == used[i]));
+            BOOST_TEST((state.shares.parties[i].waiting == waiting[i]));
+        }
+        BOOST_TEST((state.shares.used == allUsed));
+        BOOST_TEST(state.waitingSteps.inTimeSteps == inTimeSteps);
+        BOOST_TEST(state.waitingSteps.lateSteps == lateSteps);
+    }
+
+    std::map<std::string, Organisation, std::less<>> drawOrganisations()
+    {
+        std::map<std::string, Organisation, std::less<>> out;
+        for (const auto* name : { "o1", "o2", "o3" }) {
+            if (draw(4))
+                out[name] = { name, {}, draw(2), 0.5 * draw(6), {} };
+        }
+        return out;
+    }
+
     static constexpr auto visitsBit
         = static_cast<PendingReaders>(1U << static_cast<int>(ChangeReader::Visits));
 
@@ -201,6 +254,8 @@
             job.firstDue = wallNow + milliseconds(draw(400));
             job.period = 700ms;
         }
+        if (draw(3))
+            job.organisation = "o" + std::to_string(1 + draw(3));
         const bool isRecovered = state.term > 0 && draw(2);
         addJob(state, std::move(job), isRecovered ? "{\"state\":\"running\"}" : "", isRecovered);
     }
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -406,6 +406,7 @@
     dropStaleReservations(state, now);
     updateWaitingSteps(state, blocks, wallNow);
     updateChangedRooms(state, now);
+    updateShares(state.shares, state.vmRoom.capacity);
     if (scope == PlanScope::Everything)
         state.stepsNeedingTickets.clear();
     std::vector<StartAction> out;
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -45,6 +45,8 @@
     JobEntry job;
     job.criticalPath = criticalPathLength(spec.steps);
     job.timeFactor = stepTimeFactor(state.stepTimeFactors, spec.queue);
+    job.party = partyOf(state.shares, spec.organisation);
+    job.isExcess = countJob(state.shares, job.party, spec.acceptedAt);
     job.spec = std::move(spec);
     job.hasSpec = job.spec.specBytes == 0;
     job.hasRecord = !progress.empty();
@@ -188,6 +190,7 @@
 {
     auto& job = state.jobs.find(id.job)->second;
     vm.used += reservedBy(stepOf(job, id.step));
+    addUse(state.shares, job.party, stepOf(job, id.step), 1);
     vm.runs.insert(id);
     updateRoom(state, vm);
     markChanged(state, vm);
@@ -220,6 +223,7 @@
         job.dirty = true;
     if (vm != state.vms.end() && vm->second.runs.erase(id) > 0) {
         vm->second.used -= reservedBy(stepOf(job, id.step));
+        addUse(state.shares, job.party, stepOf(job, id.step), -1);
         updateRoom(state, vm->second);
         markChanged(state, vm->second);
     }
--- a/src/libscheduler/vm_room.cpp
+++ b/src/libscheduler/vm_room.cpp
@@ -14,6 +14,7 @@
     vms->second.erase({ vm.indexedRoom->freeCpu, vm.entry.id });
     if (vms->second.empty())
         state.vmRoom.byClass.erase(vms);
+    state.vmRoom.capacity -= vm.indexedRoom->capacity;
     vm.indexedRoom.reset();
 }
 
@@ -31,11 +32,12 @@
     }
     const IndexedRoom room { { vm.entry.capacity.cpu,
                                  sizeClass(vm.entry.capacity.memoryMb - vm.used.memoryMb) },
-        vm.entry.capacity.cpu - vm.used.cpu };
+        vm.entry.capacity.cpu - vm.used.cpu, vm.entry.capacity };
     if (vm.indexedRoom == room)
         return;
     removeRoom(state, vm);
     state.vmRoom.byClass[room.roomClass].emplace(room.freeCpu, vm.entry.id);
+    state.vmRoom.capacity += room.capacity;
     vm.indexedRoom = room;
 }
 
--- a/src/libscheduler/waiting_steps.cpp
+++ b/src/libscheduler/waiting_steps.cpp
@@ -16,6 +16,10 @@
 
 constexpr int classesPerOctave = 4;
 
+/// Use of a pool from which the room that becomes free is left to the better steps, even where it is too
+/// small for them yet: large tasks would never find a VM with enough of it.
+constexpr double fullShare = 0.75;
+
 Urgency urgencyOf(Timeliness timeliness)
 {
     switch (timeliness) {
@@ -66,14 +70,28 @@
         [&](const TaskState& task) { return isWaiting(task, hasUnknownRuns); });
 }
 
-NeedClass needClassOf(const StepSpec& step, const StepState& tasks)
+NeedClass needClassOf(const JobEntry& job, const StepSpec& step, const StepState& tasks)
 {
     const bool hasSuspect = std::any_of(
         tasks.tasks.begin(), tasks.tasks.end(), [](const TaskState& task) { return task.isSuspect; });
     if (step.longRunning || hasSuspect)
         return roomIndependent;
     const auto need = reservedBy(step);
-    return { sizeClass(need.cpu), sizeClass(need.memoryMb) };
+    return { sizeClass(need.cpu), sizeClass(need.memoryMb), job.party };
+}
+
+/// Needs of the step's waiting tasks, for the shares of organisations.
+Resources sharedNeeds(const JobEntry& job, const StepSpec& step, const StepState& tasks, bool hasUnknownRuns)
+{
+    Resources out;
+    if (job.party == noParty || step.longRunning)
+        return out;
+    const auto need = reservedBy(step);
+    for (const auto& task : tasks.tasks) {
+        if (isWaiting(task, hasUnknownRuns))
+            out += need;
+    }
+    return out;
 }
 
 /// Time at which the job's entries change although the job does not.
@@ -97,6 +115,17 @@
     return next;
 }
 
+/// Adds \p change entries like \p indexed to the sums of the index and of the shares.
+void addToSums(PoolState& state, const JobEntry& job, const IndexedStep& indexed, int change)
+{
+    auto& index = state.waitingSteps;
+    if (!indexed.step.isExcess) {
+        index.inTimeSteps += indexed.step.urgency == Urgency::InTime ? change : 0;
+        index.lateSteps += indexed.step.urgency == Urgency::Late ? change : 0;
+    }
+    addWaiting(state.shares, job.party, indexed.waiting, change);
+}
+
 void removeEntries(PoolState& state, JobEntry& job)
 {
     auto& index = state.waitingSteps;
@@ -106,6 +135,7 @@
         group.steps.erase(indexed.step);
         group.cpu.erase(group.cpu.find(indexed.need.cpu));
         group.memoryMb.erase(group.memoryMb.find(indexed.need.memoryMb));
+        addToSums(state, job, indexed, -1);
         if (group.steps.empty())
             index.byNeed.erase(found);
     }
@@ -128,6 +158,7 @@
         group.steps.insert(indexed.step);
         group.cpu.insert(indexed.need.cpu);
         group.memoryMb.insert(indexed.need.memoryMb);
+        addToSums(state, job, indexed, 1);
     }
     job.nextChangeAt = nextChange(state, job, wallNow);
     if (job.nextChangeAt)
@@ -188,17 +219,22 @@
     const auto* queue = queueOf(state, job);
     for (const auto& [number, occurrence] : job.occurrences) {
         for (int s = 0; s < static_cast<int>(occurrence.steps.size()); ++s) {
-            if (!isStepWaiting(job, occurrence, s, mayHaveUnknownRuns(job, occurrence, s, blocks)))
+            const bool hasUnknownRuns = mayHaveUnknownRuns(job, occurrence, s, blocks);
+            if (!isStepWaiting(job, occurrence, s, hasUnknownRuns))
                 continue;
             const auto& spec = stepOf(job, s);
-            WaitingStep step { .job = job.spec.id, .step = s, .occurrence = number };
+            WaitingStep step { .isExcess = job.isExcess && !spec.longRunning,
+                .job = job.spec.id,
+                .step = s,
+                .occurrence = number };
             step.priority = queue ? queue->priority : 0;
             step.objective = dueAt(job, number) + objectiveDuration(job, queue);
             step.urgency = spec.longRunning
                 ? Urgency::Serving
                 : urgencyOf(earliestTimeliness(job, number, occurrence, queue, wallNow));
             const auto& tasks = occurrence.steps[static_cast<std::size_t>(s)];
-            out.push_back({ needClassOf(spec, tasks), reservedBy(spec), std::move(step) });
+            out.push_back({ needClassOf(job, spec, tasks), reservedBy(spec), std::move(step),
+                sharedNeeds(job, spec, tasks, hasUnknownRuns) });
         }
     }
     return out;
@@ -225,20 +261,46 @@
     }
 }
 
+namespace {
+
+/// The part of the order that comes before the shares of organisations.
+std::pair<bool, Urgency> rankOf(const WaitingStep& step) { return { step.isExcess, step.urgency }; }
+
+} // namespace
+
+bool WaitingStepCursor::isLater(const Head& a, const Head& b)
+{
+    if (a.isAboveShare != b.isAboveShare && rankOf(*a.position) == rankOf(*b.position))
+        return a.isAboveShare;
+    return *b.position < *a.position;
+}
+
 WaitingStepCursor::WaitingStepCursor(const PoolState& state, PlanScope scope)
     : m_room(state.vmRoom)
+    , m_shares(state.shares)
+    , m_index(state.waitingSteps)
 {
     m_heads.reserve(state.waitingSteps.byNeed.size());
     for (const auto& [needClass, group] : state.waitingSteps.byNeed) {
         const bool isRoomIndependent = needClass == roomIndependent;
         const Head head { group.steps.begin(), group.steps.end(),
-            { *group.cpu.begin(), *group.memoryMb.begin(), 0 }, isRoomIndependent };
+            { *group.cpu.begin(), *group.memoryMb.begin(), 0 }, isRoomIndependent, needClass.party,
+            isAboveShare(m_shares, needClass.party) };
         if (mayFit(head) && (scope == PlanScope::Everything || !isRoomIndependent))
             m_heads.push_back(head);
     }
     std::make_heap(m_heads.begin(), m_heads.end(), isLater);
 }
 
+bool WaitingStepCursor::mustLeaveRoom(const Head& head) const
+{
+    const auto& step = *head.position;
+    const bool isWorthLess = step.isExcess || step.urgency > Urgency::InTime;
+    const bool doBetterOnesWait = m_index.inTimeSteps > 0 || (step.isExcess && m_index.lateSteps > 0);
+    return !head.isRoomIndependent && isWorthLess && doBetterOnesWait
+        && dominantShare(m_shares.used, m_room.capacity) > fullShare;
+}
+
 bool WaitingStepCursor::mayFit(const Head& head) const
 {
     return head.isRoomIndependent
@@ -250,8 +312,14 @@
     while (!m_heads.empty()) {
         std::pop_heap(m_heads.begin(), m_heads.end(), isLater);
         auto& head = m_heads.back();
+        // The starts of this pass may have taken the organisation above its share.
+        const bool isAbove = isAboveShare(m_shares, head.party);
+        if (std::exchange(head.isAboveShare, isAbove) != isAbove) {
+            std::push_heap(m_heads.begin(), m_heads.end(), isLater);
+            continue;
+        }
         const PlannedStep step { &*head.position, head.isRoomIndependent };
-        if (!mayFit(head)) {
+        if (!mayFit(head) || mustLeaveRoom(head)) {
             m_heads.pop_back();
             continue;
         }
--- a/src/libscheduler/waiting_steps_pvt.h
+++ b/src/libscheduler/waiting_steps_pvt.h
@@ -38,12 +38,14 @@
     bool isRoomIndependent = false; ///< is in the class roomIndependent
 };
 
-/// The waiting steps in the order of planning, without the classes of steps that fit on no VM. The index of
-/// waiting steps must not change meanwhile; that of the VMs may.
+/// The waiting steps in the order of planning: that of WaitingStep, but after the class of urgency and the
+/// excess, organisations above their share come after those below theirs. Without the classes of steps that
+/// fit on no VM. The index of waiting steps must not change meanwhile; that of the VMs may.
 class WaitingStepCursor {
 public:
     WaitingStepCursor(const PoolState& state, PlanScope scope);
-    /// The next step; empty after the last. A class that no VM has room for is left out from then on.
+    /// The next step; empty after the last. A class that no VM has room for is left out from then on, as is
+    /// one whose next step must leave the room to better ones.
     std::optional<PlannedStep> next();
 
 private:
@@ -53,11 +55,18 @@
         Position end;
         Resources smallestNeed; ///< in each dimension, of a task in the class
         bool isRoomIndependent = false;
+        PartyNumber party = noParty;
+        bool isAboveShare = false;
     };
-    static bool isLater(const Head& a, const Head& b) { return *b.position < *a.position; }
+    static bool isLater(const Head& a, const Head& b);
     bool mayFit(const Head& head) const;
+    /// Whether the head's step may not take the last room of the pool, since better ones wait: those in time,
+    /// and for excess also the late ones.
+    bool mustLeaveRoom(const Head& head) const;
 
     const VmRoom& m_room;
+    const FairShares& m_shares;
+    const WaitingSteps& m_index;
     std::vector<Head> m_heads; ///< a heap with the earliest step first
 };
 
