--- a/src/libscheduler/vm_room.cpp
+++ b/src/libscheduler/vm_room.cpp
@@ -7,13 +7,14 @@
 namespace damask::fleet {
 namespace {
 
-/// Removes the VM's entry from the index by free CPU; that of its rack remains.
+/// Removes the VM from the index by free CPU and from the capacity; its entry of the rack remains.
 void removeFromClass(PoolState& state, VmState& vm)
 {
     const auto vms = state.vmRoom.byClass.find(vm.indexedRoom->roomClass);
     vms->second.erase({ vm.indexedRoom->freeCpu, vm.entry.id });
     if (vms->second.empty())
         state.vmRoom.byClass.erase(vms);
+    state.vmRoom.capacity -= vm.indexedRoom->capacity;
 }
 
 void removeFromRack(PoolState& state, VmState& vm)
@@ -49,7 +50,7 @@
     }
     const IndexedRoom room { { vm.entry.capacity.cpu,
                                  sizeClass(vm.entry.capacity.memoryMb - vm.used.memoryMb) },
-        vm.entry.capacity.cpu - vm.used.cpu, vm.entry.rack };
+        vm.entry.capacity.cpu - vm.used.cpu, vm.entry.rack, vm.entry.capacity };
     if (vm.indexedRoom == room)
         return;
     const bool isInRack = vm.indexedRoom && vm.indexedRoom->rack == room.rack;
@@ -60,6 +61,7 @@
     if (!isInRack)
         state.vmRoom.racks[room.rack].try_emplace(vm.entry.id);
     state.vmRoom.byClass[room.roomClass].emplace(room.freeCpu, vm.entry.id);
+    state.vmRoom.capacity += room.capacity;
     vm.indexedRoom = room;
 }
 
