--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -10,10 +10,12 @@
 #include <damaskworks/deployment.h>
 #include <damaskworks/ended_occurrences.h>
 #include <damaskworks/endpoint_control.h>
+#include <damaskworks/fair_share.h>
 #include <damaskworks/job.h>
 #include <damaskworks/load_sums.h>
 #include <damaskworks/locality_wait.h>
 #include <damaskworks/record_rows.h>
+#include <damaskworks/step_times.h>
 #include <damaskworks/vm_room.h>
 #include <damaskworks/waiting_steps.h>
 
@@ -115,6 +117,7 @@
     int doneTasks = 0;
     std::vector<milliseconds>
         runTimes; ///< of its done tasks, if it is speculative and this holder started them
+    milliseconds longestRun { 0 }; ///< of its done tasks, as far as this holder has seen them
     StepAdvice advice;
 };
 
@@ -142,6 +145,9 @@
     EndedOccurrences endedOccurrences; ///< of a scheduled job; their tasks have no state any more
     RecordRows record;
     milliseconds criticalPath { 0 }; ///< see criticalPathLength()
+    double timeFactor = 1; ///< of its estimates, see stepTimeFactor()
+    PartyNumber party = noParty; ///< its organisation in PoolState::shares
+    bool isExcess = false; ///< beyond what its organisation is entitled to, see countJob()
     TimePoint firstStartAt {}; ///< first start command of this holder; zero: none yet
     PendingReaders pendingReaders = 0; ///< in PoolState::changedJobs
     std::uint32_t changeCount = 0; ///< calls of markChanged()
@@ -354,6 +360,8 @@
     std::map<std::string, JobEntry, std::less<>> jobs; ///< that have not ended, by id
     std::map<std::string, VmState, std::less<>> vms; ///< by id
     std::deque<Arrival> arrivals; ///< within the last two arrival windows, oldest first
+    FairShares shares;
+    StepTimeFactors stepTimeFactors;
     /// The rate at which the holder can send starts has limited planStarts() for some time.
     bool areStartsLimited = false;
     std::vector<StepId> stepsNeedingTickets; ///< steps for which the last planStarts() found no usable VM
--- a/src/include/damaskworks/vm_room.h
+++ b/src/include/damaskworks/vm_room.h
@@ -29,6 +29,7 @@
     RoomClass roomClass;
     std::int64_t freeCpu = 0; ///< that no run reserves, in thousandths of a core
     std::string rack;
+    Resources capacity;
     bool operator==(const IndexedRoom&) const = default;
 };
 
@@ -39,6 +40,7 @@
     /// Needs for which no VM has had room since room was last freed for them. None contains another.
     std::vector<Resources> failedNeeds;
     std::set<TimePoint> returnTimes; ///< at which VMs accept work again without an event
+    Resources capacity; ///< of the VMs in the index
     TimePoint updatedAt {}; ///< of the last update
     std::uint64_t passes = 0; ///< number of these updates, one for each planning pass
     /// The same VMs by rack and id; none of the racks is empty.
--- a/src/libscheduler/job_timing.cpp
+++ b/src/libscheduler/job_timing.cpp
@@ -6,6 +6,12 @@
 namespace damask::fleet {
 namespace {
 
+/// A time by the estimates, as the job's queue has taken in the past.
+milliseconds scaled(const JobEntry& job, milliseconds estimate)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * job.timeFactor));
+}
+
 /// Most jobs have fewer steps, for which no memory is allocated.
 constexpr std::size_t usualStepCount = 16;
 
@@ -22,7 +28,7 @@
             ends[i] += steps[i].estimate;
         longest = std::max(longest, ends[i]);
     }
-    return longest;
+    return scaled(job, longest);
 }
 
 } // namespace
@@ -36,7 +42,8 @@
 
 milliseconds objectiveDuration(const JobEntry& job, const Queue* queue)
 {
-    return queue ? objectiveDuration(job.criticalPath, *queue) : job.criticalPath;
+    const auto path = scaled(job, job.criticalPath);
+    return queue ? objectiveDuration(path, *queue) : path;
 }
 
 milliseconds objectiveDuration(milliseconds criticalPath, const Queue& queue)
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -449,6 +449,7 @@
     updateWaitingSteps(state, blocks, wallNow);
     updateChangedRooms(state, now);
     beginCapPass(state, scope == PlanScope::Everything, now);
+    updateShares(state.shares, state.vmRoom.capacity);
     if (scope == PlanScope::Everything)
         state.stepsNeedingTickets.clear();
     std::vector<StartAction> out;
