Test that others' work counts up to their entitlement

Cause: a mutant that counted all of an organisation's waiting work against the others survived job_admission_test. Change: a case for admissionQuestion(), by entitlement and by queue priority. Conclusion: no change of behaviour.

--- a/src/libfleet/job_admission_test.cpp
+++ b/src/libfleet/job_admission_test.cpp
@@ -272,6 +272,28 @@
     BOOST_TEST((decideAdmission(question, 0).outcome == AdmissionOutcome::Accepted));
 }
 
+BOOST_AUTO_TEST_CASE(workOfOthersCountsUpToTheirEntitlementAndByPriority)
+{
+    ManualClock clock;
+    FleetWorkload workload(clock);
+    FleetConfig config;
+    auto background = usualQueue();
+    background.name = "background";
+    background.priority = 1;
+    config.queues = { usualQueue(), background };
+    config.organisations["p"] = { "p", {}, 0, 2, {} };
+    workload.setWeights(config);
+    const auto work = usualWork();
+    workload.count("pricing", "quotes", "p", JobState::Queued, work, 100);
+    workload.count("pricing", "background", "p", JobState::Queued, work, 50);
+    const auto cpuTime = static_cast<double>(work.cpuTime);
+    const auto question = admissionQuestion(workload, config, config.queues[0], "o", work, clock.now());
+    BOOST_TEST(question.waitingCpuTime == 100 * cpuTime);
+    BOOST_TEST(question.entitledCpuTime == 6 * cpuTime); // two jobs a second, for an objective of 3 s
+    const auto later = admissionQuestion(workload, config, config.queues[1], "o", work, clock.now());
+    BOOST_TEST(later.waitingCpuTime == 150 * cpuTime);
+}
+
 BOOST_AUTO_TEST_CASE(refusedCallersAreSpread)
 {
     BOOST_TEST(admissionRetryAfter(0ms, 0).count() == 1);
