Copies: judge a run by siblings that are done, not by early progress

Ruled out: a larger factor alone, since a step that takes three times its estimate passes any that still finds a straggler in time.

Change: progress counts over at least half the usual time and from the VM's confirmation; unless half of the step's tasks are done, a run must have taken three times the estimate corrected by its queue's median.

--- a/src/include/damaskworks/locality_wait.h
+++ b/src/include/damaskworks/locality_wait.h
@@ -66,8 +66,9 @@
     TimePoint progressAt {}; ///< when percent was first reported
 };
 
-/// Expected end of a run, later than \p now. Its progress and its estimate are compared, and the later end
-/// counts. A run past that is expected to last as long again as it is past it.
+/// Expected end of a run, later than \p now. Its progress over at least half the estimate and the estimate
+/// are compared, and the later end counts. A run past that is expected to last as long again as it is past
+/// it.
 TimePoint expectedEnd(const RunOutlook& run, TimePoint now);
 
 /// Resources that the expected end of a run frees.
--- a/src/libscheduler/locality_wait.cpp
+++ b/src/libscheduler/locality_wait.cpp
@@ -62,7 +62,9 @@
 TimePoint expectedEnd(const RunOutlook& run, TimePoint now)
 {
     auto end = run.startedAt + run.estimate;
-    if (run.percent > 0 && run.percent < 100 && run.progressAt > run.startedAt) {
+    // Earlier progress says little: it may be rounded, and the run may just have begun.
+    const bool hasPace = run.progressAt - run.startedAt >= run.estimate / 2 && run.progressAt > run.startedAt;
+    if (run.percent > 0 && run.percent < 100 && hasPace) {
         const double rest = (100.0 - run.percent) / 100;
         const auto pace = duration_cast<milliseconds>(run.progressAt - run.startedAt);
         end = run.progressAt + std::max(scale(run.estimate, rest), scale(pace, rest * 100 / run.percent));
--- a/src/libscheduler/rack_choice.cpp
+++ b/src/libscheduler/rack_choice.cpp
@@ -59,7 +59,8 @@
     const double factor = isFar ? state.limits.farSlowdown : 1;
     const auto estimate
         = milliseconds(static_cast<std::int64_t>(static_cast<double>(step.estimate.count()) * factor));
-    return expectedEnd({ estimate, run.createdAt, run.percent, run.progressAt }, now);
+    const auto startedAt = run.confirmedAt == TimePoint {} ? run.createdAt : run.confirmedAt;
+    return expectedEnd({ estimate, startedAt, run.percent, run.progressAt }, now);
 }
 
 /// Updates the expected ends if the VM has changed or one of them has passed.
--- a/src/libscheduler/run_copies.cpp
+++ b/src/libscheduler/run_copies.cpp
@@ -18,6 +18,9 @@
 /// A run is a straggler if it needs this multiple of a copy's run time. Copies that would end little earlier
 /// only use up room.
 constexpr double stragglerFactor = 1.5;
+/// Multiple of the usual run time that a run has to take if too few tasks of its step are done: estimates are
+/// rough, and all tasks of a step may take longer.
+constexpr double patienceFactor = 3;
 /// Share of the pool's CPU that copies may use.
 constexpr double maxCopyShare = 0.05;
 /// Change of a queue's factor with each end. Steps of one size, up or down, lead to the median.
@@ -28,12 +31,15 @@
     return milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
 }
 
+/// Whether enough tasks of the step are done to tell what is usual.
+bool areSiblingsDone(const StepState& step) { return step.runTimes.size() * 2 >= step.tasks.size(); }
+
 /// Run time of a usual task of the step: the median of those that are done, if they are half of it; else the
 /// estimate, corrected by what the queue's tasks took.
 milliseconds usualRunTime(const PoolState& state, const JobEntry& job, const StepSpec& spec, StepState& step)
 {
     auto& times = step.runTimes;
-    if (times.size() * 2 >= step.tasks.size() && !times.empty()) {
+    if (areSiblingsDone(step)) {
         const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
         std::nth_element(times.begin(), middle, times.end());
         return *middle;
@@ -61,6 +67,7 @@
 {
     auto& step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
     const auto usual = usualRunTime(state, job, stepOf(job, id.step), step);
+    const auto patience = areSiblingsDone(step) ? milliseconds(0) : scale(usual, patienceFactor);
     const int attempts = attemptLimit(state, job);
     bool hasRuns = false;
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -69,7 +76,9 @@
         if (!mayCopy(task, attempts))
             continue;
         const auto& run = *task.run;
-        const auto end = expectedEnd({ usual, run.createdAt, run.percent, run.progressAt }, now);
+        if (now - run.confirmedAt < patience)
+            continue;
+        const auto end = expectedEnd({ usual, run.confirmedAt, run.percent, run.progressAt }, now);
         const auto remaining = duration_cast<milliseconds>(end - now);
         if (remaining > scale(usual, stragglerFactor))
             out.push_back({ { id.job, id.occurrence, id.step, static_cast<int>(i) }, remaining, usual });
