--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -137,7 +137,7 @@
         if (end.kind == EndKind::Failed && !isOutdated)
             failTask(state, job, *task, step, end.run);
         if (end.kind == EndKind::Done && isCopyable(step)) {
-            finishTask(state, job, end.task, *task);
+            finishTask(state, job, end.task, *task, milliseconds(0));
             completeIfDone(state, job);
         }
         return;
@@ -147,8 +147,8 @@
     task->lastRun = std::max(task->lastRun, end.run);
     keepCheckpoint(state, vm, end.task, *task, end.run, end.checkpoint);
     milliseconds runTime { 0 };
-    if (isCurrentRun && task->run->confirmedAt != TimePoint {})
-        runTime = std::chrono::duration_cast<milliseconds>(now - task->run->confirmedAt);
+    if (isCurrentRun && run->confirmedAt != TimePoint {})
+        runTime = std::chrono::duration_cast<milliseconds>(now - run->confirmedAt);
     if (isCurrentRun)
         releaseRun(state, end.task, *task, vm.entry.id);
     switch (end.kind) {
