--- a/src/include/damaskworks/poll_pace.h
+++ b/src/include/damaskworks/poll_pace.h
@@ -16,6 +16,9 @@
     std::chrono::milliseconds maxWait { 1000 }; ///< of one request for a change
     /// Mean time between the sending of two requests; zero: none beyond the above.
     std::chrono::milliseconds minInterval { 0 };
+    /// Whether the rows only inform this node, so that it leaves the table to others while that refuses
+    /// calls.
+    bool yieldsWhenRefused = false;
 
     bool operator==(const PollPace&) const = default;
 };
--- a/src/include/damaskworks/table_follower.h
+++ b/src/include/damaskworks/table_follower.h
@@ -32,10 +32,6 @@
     /// Follow each response that has rows with a request that does not wait, so that currentAsOf() is recent
     /// again at once.
     bool confirmsChanges = false;
-    std::chrono::milliseconds minInterval { 0 }; ///< see PollPace
-    /// Whether the rows only inform this node, so that it leaves the table to others while that is
-    /// overloaded.
-    bool yieldsWhenOverloaded = false;
 };
 
 /// Follows one table and passes changes to its listeners in order of version. If the table no longer keeps
@@ -56,7 +52,7 @@
     void setListeners(ResetListener onReset, ChangeListener onChange, BatchListener onBatch);
     void start();
     /// Applies from the next request on.
-    void setPace(const PollPace& pace);
+    void setPace(const PollPace& pace) { m_pace = pace; }
     /// Sets the time in which each node can make one request, if they share the table equally; zero: not
     /// known. Refused requests of a load are repeated within one turn for each part that is left to read.
     void setTurn(std::chrono::milliseconds turn) { m_turn = turn; }
@@ -98,6 +94,7 @@
     const Clock& m_clock;
     Metrics& m_metrics;
     FollowSettings m_settings;
+    PollPace m_pace; ///< that of the settings until setPace()
     std::mt19937_64 m_random;
     Timer m_timer;
     ResetListener m_onReset;
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -37,12 +37,6 @@
     return out;
 }
 
-/// Settings of a table whose rows only inform a node; its pace comes from planPolls().
-FollowSettings informingTableSettings(std::string table, bool isPartitioned)
-{
-    return { .table = std::move(table), .isPartitioned = isPartitioned, .yieldsWhenOverloaded = true };
-}
-
 Adapter openAdapter(const AdapterPlugin& plugin, Loop& loop, const NodeSettings& settings, const Clock& clock,
     Metrics& metrics, TableContact& contact)
 {
@@ -68,12 +62,10 @@
           m_settings.configApplyTime, m_tableContact, m_settings.maxRowBytes })
     , m_operatorRows(
           loop.base(), *m_adapter.table, clock, m_metrics, operatorTableSettings(*m_adapter.codec), seed + 1)
-    , m_controlRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          informingTableSettings(std::string(controlTable), true), seed + 2)
-    , m_jobRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          informingTableSettings(std::string(jobTable), true), seed + 3)
-    , m_vmRows(loop.base(), *m_adapter.table, clock, m_metrics,
-          informingTableSettings(m_adapter.codec->vmTable(), false), seed + 4)
+    , m_controlRows(
+          loop.base(), *m_adapter.table, clock, m_metrics, { std::string(controlTable), true }, seed + 2)
+    , m_jobRows(loop.base(), *m_adapter.table, clock, m_metrics, { std::string(jobTable), true }, seed + 3)
+    , m_vmRows(loop.base(), *m_adapter.table, clock, m_metrics, { m_adapter.codec->vmTable() }, seed + 4)
     , m_election(loop.base(), *m_adapter.table, clock, m_settings.node, m_session,
           NodeCapacity { m_settings.cpuShare, m_settings.linkMbps }, seed + 5, m_leaseTiming,
           { [this] { return canServe() && hasRecentContact(maxContactAgeToAcquire); },
--- a/src/libfleet/fleet_size.cpp
+++ b/src/libfleet/fleet_size.cpp
@@ -93,12 +93,7 @@
     , m_clock(clock)
     , m_metrics(metrics)
     , m_published(std::move(published))
-    , m_rows(base, table, clock, metrics,
-          { .table = std::string(nodeTable),
-              .pauseAfterChanges = nodeRowsPause,
-              .maxWait = nodeRowsWait,
-              .yieldsWhenOverloaded = true },
-          seed)
+    , m_rows(base, table, clock, metrics, FollowSettings { std::string(nodeTable) }, seed)
     , m_timer(base, [this] { count(); })
 {
     m_rows.setListeners(
@@ -108,6 +103,7 @@
                 applyRow(row);
         },
         [this](const TableRow& row) { applyRow(row); }, [] {});
+    m_rows.setPace({ nodeRowsPause, nodeRowsWait, milliseconds(0), true });
     m_rows.start();
     m_timer.startPeriodic(countInterval);
 }
--- a/src/libfleet/poll_budget.cpp
+++ b/src/libfleet/poll_budget.cpp
@@ -58,6 +58,10 @@
     plan.control = { role.coordinatesMachines ? holderPause : controlTablePause, maxWait };
     plan.jobs = { role.holdsPools ? holderPause : observerPause, maxWait };
     plan.vms = { controlTablePause, maxWait };
+    // What holders don't know keeps tasks from starting; others only answer callers a little later.
+    const bool yields = !role.holdsPools && !role.coordinatesMachines;
+    for (auto* pace : { &plan.control, &plan.jobs, &plan.vms })
+        pace->yieldsWhenRefused = yields;
     return plan;
 }
 
@@ -136,6 +140,7 @@
     const auto nodes = static_cast<double>(inputs.nodes);
     plan.turn = std::chrono::ceil<milliseconds>(Seconds(nodes / inputs.readsPerSecond));
     if (role.holdsPools || role.coordinatesMachines) {
+        plan.turn = milliseconds(0); // its loads go on at once
         const auto holders = static_cast<double>(std::clamp<std::size_t>(inputs.leases, 1, inputs.nodes));
         stretchHolder(plan, inputs.readsPerSecond * holderShare / holders);
         return plan;
--- a/src/libfleet/poll_budget_test.cpp
+++ b/src/libfleet/poll_budget_test.cpp
@@ -56,8 +56,8 @@
     }
     const auto plan = observerPlan(7, smallSiteReads);
     BOOST_TEST((plan.operators == PollPace { 0ms, 500ms, 0ms }));
-    BOOST_TEST((plan.control == PollPace { 250ms, 1000ms, 0ms }));
-    BOOST_TEST((plan.jobs == PollPace { 150ms, 1000ms, 0ms }));
+    BOOST_TEST((plan.control == PollPace { 250ms, 1000ms, 0ms, true }));
+    BOOST_TEST((plan.jobs == PollPace { 150ms, 1000ms, 0ms, true }));
     BOOST_TEST(
         (planPolls({ true, true }, { smallSiteReads, 7, leases, applyTime }).jobs.pauseAfterChanges == 25ms));
 }
@@ -110,6 +110,17 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(holdersDoNotYieldWhenTheTableRefusesCalls)
+{
+    for (const NodeRole role : { NodeRole { true, false }, NodeRole { false, true } }) {
+        const auto plan = planPolls(role, { smallSiteReads, 300, leases, applyTime });
+        BOOST_TEST(
+            !(plan.control.yieldsWhenRefused || plan.jobs.yieldsWhenRefused || plan.vms.yieldsWhenRefused));
+        BOOST_TEST((plan.turn == 0ms));
+    }
+    BOOST_TEST(!observerPlan(300, smallSiteReads).operators.yieldsWhenRefused);
+}
+
 BOOST_AUTO_TEST_CASE(holdersSlowDownOnlyIfTheLeasesAloneExceedTheirPart)
 {
     const PollInputs few { smallSiteReads, 300, leases, applyTime };
--- a/src/libfleet/table_follower.cpp
+++ b/src/libfleet/table_follower.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t rowsPerPage = 500;
 constexpr milliseconds initialBackoff { 50 };
 constexpr milliseconds maxBackoff { 400 };
+/// Refusals in a row that don't count as an outage, after which rows are read anew.
+constexpr int maxBriefRefusals = 3;
 /// Parts that a load is expected to read as long as they are not listed.
 constexpr std::size_t expectedParts = 32;
 /// The table ends a response at 1 MB, after Base64. Rows that nodes write hold at most 64 KB, so a response
@@ -46,6 +48,7 @@
     , m_clock(clock)
     , m_metrics(metrics)
     , m_settings(std::move(settings))
+    , m_pace { m_settings.pauseAfterChanges, m_settings.maxWait }
     , m_random(seed)
     , m_timer(base, [this] { runNext(); })
 {
@@ -62,13 +65,6 @@
 
 void TableFollower::start() { scheduleNext(milliseconds(0)); }
 
-void TableFollower::setPace(const PollPace& pace)
-{
-    m_settings.pauseAfterChanges = pace.pauseAfterChanges;
-    m_settings.maxWait = pace.maxWait;
-    m_settings.minInterval = pace.minInterval;
-}
-
 void TableFollower::scheduleNext(milliseconds delay) { m_timer.startOnce(delay); }
 
 void TableFollower::continueLoad(std::function<void()> step)
@@ -99,7 +95,9 @@
                 { "version", std::to_string(m_version) }, { "failures", std::to_string(m_failures) } });
     m_metrics.count("table_follow_failures_total{table=\"" + m_settings.table + "\",failure=\""
         + std::string(nameOf(tableFailureNames, failure)) + "\"}");
-    m_needsReload = m_needsReload || needsReload || m_settings.readsRowsWhenBehind;
+    // A refusal or two take too little time for many versions, and a load would be three more requests.
+    const bool isBrief = failure == TableFailure::Overloaded && m_failures < maxBriefRefusals;
+    m_needsReload = m_needsReload || needsReload || (m_settings.readsRowsWhenBehind && !isBrief);
     scheduleNext(retryDelay(failure));
 }
 
@@ -108,7 +106,7 @@
     const auto backoff = std::min(maxBackoff, initialBackoff * (1 << std::min(m_failures, 5)));
     ++m_failures;
     const auto delay = backoff / 2 + milliseconds(m_random() % static_cast<std::uint64_t>(backoff.count()));
-    if (failure != TableFailure::Overloaded || !m_settings.yieldsWhenOverloaded)
+    if (failure != TableFailure::Overloaded || !m_pace.yieldsWhenRefused)
         return delay;
     m_restraint = restraintAfterRefusal(m_restraint);
     milliseconds window { 0 };
@@ -214,7 +212,7 @@
 
 void TableFollower::follow()
 {
-    const auto wait = std::exchange(m_needsConfirmation, false) ? milliseconds(0) : m_settings.maxWait;
+    const auto wait = std::exchange(m_needsConfirmation, false) ? milliseconds(0) : m_pace.maxWait;
     m_table.follow(m_settings.table, m_version, wait,
         [this, wait, alive = m_alive, sentAt = m_clock.now()](TableResult<TableRows> rows) {
             if (!*alive)
@@ -232,13 +230,12 @@
             m_needsReload = m_settings.readsRowsWhenBehind && hasSupersededRows(*rows);
             m_needsConfirmation = m_isBehind || (hasChanges && m_settings.confirmsChanges);
             applyChanges(*rows);
-            const PollPace pace { m_settings.pauseAfterChanges, m_settings.maxWait, m_settings.minInterval };
             if (m_isBehind)
                 return scheduleNext(milliseconds(0));
             if (m_needsReload || m_needsConfirmation)
-                return scheduleNext(hasChanges ? pace.pauseAfterChanges : milliseconds(0));
+                return scheduleNext(hasChanges ? m_pace.pauseAfterChanges : milliseconds(0));
             const auto sinceSent = std::chrono::duration_cast<milliseconds>(m_clock.now() - sentAt);
-            scheduleNext(delayToNextPoll(pace, m_restraint, sinceSent, hasChanges, random()));
+            scheduleNext(delayToNextPoll(m_pace, m_restraint, sinceSent, hasChanges, random()));
         });
 }
 
--- a/src/libfleet/table_follower_test.cpp
+++ b/src/libfleet/table_follower_test.cpp
@@ -195,8 +195,8 @@
 // A refused node must not ask again at once, although it would after any other failure.
 BOOST_FIXTURE_TEST_CASE(refusalsForOverloadDelayRequestsUntilTheTableResponds, FollowerFixture)
 {
-    TableFollower follower(
-        loop.base(), table, clock, metrics, { .table = "jobs", .yieldsWhenOverloaded = true }, 1);
+    TableFollower follower(loop.base(), table, clock, metrics, { "jobs" }, 1);
+    follower.setPace({ .yieldsWhenRefused = true });
     listen(follower);
     const auto timeToRequest = [this] {
         const auto begunAt = std::chrono::steady_clock::now();
@@ -214,6 +214,22 @@
     BOOST_TEST((timeToRequest() >= 300ms)); // half of twice that
 }
 
+// 300 nodes that started together each read the whole configuration again after each refusal.
+BOOST_FIXTURE_TEST_CASE(largeRowsAreReadAnewOnlyAfterSeveralRefusals, FollowerFixture)
+{
+    TableFollower follower(loop.base(), table, clock, metrics, { "op", false, 0ms, true }, 1);
+    listen(follower);
+    const auto reads = table.reads;
+    for (int i = 0; i < 3; ++i) {
+        table.respond(tl::make_unexpected(TableFailure::Overloaded));
+        waitForRequest();
+    }
+    BOOST_TEST(table.reads == reads);
+    table.respond(tl::make_unexpected(TableFailure::Overloaded));
+    waitForRequest();
+    BOOST_TEST(table.reads > reads);
+}
+
 BOOST_FIXTURE_TEST_CASE(requestsKeepTheIntervalOfALargeFleet, FollowerFixture)
 {
     TableFollower follower(loop.base(), table, clock, metrics, { "jobs" }, 1);
