Divide a pool by the resources that it has

Cause: found by reading. A task that wants a GPU in a pool without one made the level of progressive filling 0, so that every organisation was at its share and none came before another.

Change: claims on a resource of which the pool has nothing don't count. Test: missingResourceChangesNoShare.

--- a/src/libscheduler/fair_share.cpp
+++ b/src/libscheduler/fair_share.cpp
@@ -185,8 +185,13 @@
     const auto whole = amountsOf(shared);
     auto room = whole;
     for (auto& [priority, level] : claims) {
-        for (auto& claim : level)
+        for (auto& claim : level) {
+            // Nobody gets what the pool does not have.
+            for (std::size_t r = 0; r < whole.size(); ++r)
+                claim.wanted[r] = whole[r] > 0 ? claim.wanted[r] : 0;
             claim.share = dominantShare(claim.wanted, whole);
+        }
+        std::erase_if(level, [](const Claim& claim) { return claim.share <= 0; });
         const bool isLowest = priority == claims.rbegin()->first;
         divide(level, room, isLowest ? 1 : 1 - reservedForLower);
     }
--- a/src/libscheduler/fair_share_test.cpp
+++ b/src/libscheduler/fair_share_test.cpp
@@ -118,6 +118,20 @@
     BOOST_TEST(parties[1].fairShare > 0.9); // they need different resources
 }
 
+// A task that wants a GPU waits for good in a pool without one, and the others still share the rest.
+BOOST_AUTO_TEST_CASE(missingResourceChangesNoShare)
+{
+    applyOrganisations(state.shares, organisationsWith({ 1, 1, 2 }));
+    addWaiting(state.shares, partyOf(state.shares, "o0"), { 1, 1, 1 }, 1);
+    addWaiting(state.shares, partyOf(state.shares, "o1"), { 1000, 1, 0 }, 100);
+    addWaiting(state.shares, partyOf(state.shares, "o2"), { 1000, 1, 0 }, 100);
+    updateShares(state.shares, { 9'000, 32'000, 0 });
+    BOOST_TEST(!isAboveShare(state.shares, partyOf(state.shares, "o1")));
+    const auto& parties = state.shares.parties;
+    BOOST_TEST(std::abs(parties[3].fairShare - 2 * parties[2].fairShare) < 1e-9);
+    BOOST_TEST(parties[2].fairShare > 0.3);
+}
+
 RC_BOOST_FIXTURE_PROP(weightedSharesHold, SharedPool, ())
 {
     const auto count = *rc::gen::inRange<std::size_t>(2, 8);
