Keep the wait of a stretched poll from becoming an interval of its own

A poll without a pause is spaced by its wait, which setInterval() raised beyond the interval that the budget asks for. Ruled out: rounding to milliseconds, which the check allows for. Change: stretching a poll never lengthens its wait. Conclusion: nodes of a large fleet read the configuration as often as their budget allows.

--- a/src/libfleet/poll_budget.cpp
+++ b/src/libfleet/poll_budget.cpp
@@ -70,7 +70,8 @@
 {
     pace.minInterval = interval;
     const auto longest = std::chrono::duration_cast<milliseconds>(interval * longestIntervalFactor);
-    pace.maxWait = std::clamp(longestGap - longest, shortestWait, maxWait);
+    // Without a pause the wait is an interval as well, so it must not become longer.
+    pace.maxWait = std::min(pace.maxWait, std::max(longestGap - longest, shortestWait));
 }
 
 /// One way of making fewer requests, up to an interval.
