--- a/src/libscheduler/run_copies_test.cpp
+++ b/src/libscheduler/run_copies_test.cpp
@@ -47,7 +47,7 @@
     std::vector<StartAction> makeStraggler(std::vector<StepSpec> steps = { speculativeStep(4) })
     {
         submit("job", std::move(steps));
-        const auto started = plan();
+        auto started = plan();
         advance(1s);
         for (std::size_t i = 1; i < started.size(); ++i)
             end(started[i].vm, started[i].command.task, EndKind::Done);
