Count a registration that arrives before the coordinator begins

Between its lease and begin() the coordinator noted that a VM was unregistered, but not that the VM registered again under its id, so it took the machine for down in every list from then on: 7 of 8 machines counted, the third of the wave never begun. Change: applyVm() forgets the removal before it looks whether it has begun. Conclusion: a machine's VM that restarts during a takeover is maintained.

--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -107,9 +107,10 @@
 
 void MachineCoordinator::applyVm(const VmRegistration& vm)
 {
+    // Removals count before begin() as well, so registrations have to.
+    m_unregisteredVms.erase(vm.id);
     if (!m_begun || vm.machine.empty())
         return;
-    m_unregisteredVms.erase(vm.id);
     auto& machine = m_state.machines[vm.machine];
     machine = { vm.machine, vm.pool, vm.draining ? MachineState::Down : MachineState::Up, vm.id };
 }
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -110,6 +110,8 @@
         coordinator = std::make_unique<MachineCoordinator>(
             CoordinatorContext { loop.base(), clock, metrics, table, machines, *adapter.codec, fleetRows },
             AcquiredLease { row, version, clock.now() }, LeaseTiming {}, [] {});
+        if (beforeBegin)
+            beforeBegin();
         coordinator->begin(config, { { 1, wave } });
     }
 
@@ -129,8 +131,27 @@
     FleetConfig config;
     WaveRequest wave { 1, {}, 1s, 1 };
     std::unique_ptr<MachineCoordinator> coordinator;
+    std::function<void()> beforeBegin; ///< called while the coordinator has its lease but has not begun
 };
 
+// Between the lease and begin(), a node may learn of both rows of a VM that restarts under its id.
+BOOST_FIXTURE_TEST_CASE(vmThatReturnsBeforeTheCoordinatorBeginsIsMaintained, CoordinatorFixture)
+{
+    wave.machines = { "m1" };
+    machines.machines["m1"] = { "m1", "a", MachineState::Up, "vm-1" };
+    beforeBegin = [this] {
+        VmRegistration vm;
+        vm.id = "vm-1";
+        vm.machine = "m1";
+        vm.pool = "a";
+        coordinator->removeVm(vm);
+        coordinator->applyVm(vm);
+    };
+    config.pools["a"] = { "a", true, false };
+    begin();
+    BOOST_TEST(loop.runUntil([this] { return machines.maintenanceCommands > 0; }, 5s));
+}
+
 BOOST_FIXTURE_TEST_CASE(waveLargerThanOneTransactionCompletes, CoordinatorFixture)
 {
     constexpr int count = 150;
