overload_replay_test: draw the load in one order on every machine

The width and the processors of a step were two draws in the arguments of one call, and the order in which arguments are evaluated is the compiler's choice: GCC takes the first one first on arm64 and the last one first on x86-64. The load was another one there. Ruled out: a bound that depends on the machine's speed; the replay runs on a virtual clock. Change: each draw is a statement of its own. Conclusion: the test's load is now the same on both kinds of machine.

--- a/src/libscheduler/overload_replay_test.h
+++ b/src/libscheduler/overload_replay_test.h
@@ -173,9 +173,10 @@
         milliseconds chain { 0 };
         double work = 0;
         for (int s = 0; s < load.steps; ++s) {
-            auto step
-                = makeStep(std::max(1, static_cast<int>(std::lround(draw(random, load.meanWidth, 0.6, 32)))),
-                    static_cast<std::int64_t>(draw(random, load.meanCpu, 0.45, load.meanCpu * 3)));
+            // One draw a statement: the order in which arguments are evaluated differs between machines.
+            const auto width = std::lround(draw(random, load.meanWidth, 0.6, 32));
+            const auto cpu = draw(random, load.meanCpu, 0.45, load.meanCpu * 3);
+            auto step = makeStep(std::max(1, static_cast<int>(width)), static_cast<std::int64_t>(cpu));
             if (s > 0)
                 step.after = { s - 1 };
             const double time = draw(random, load.meanTaskTime, 0.5, load.meanTaskTime * 3);
