job_record_test: give the model limits that the ledger really has

Two draws in the arguments of one call come in another order than on arm64, so another run was drawn. In that run a row has at most 588 bytes and a transaction 1,290; such a row takes 4/3 of that in Base64, some 110 for names, and 512 are reserved for the lease (hasRoomFor()): up to 1,402, so a row near its limit fits into no transaction and is tried for ever. Ruled out: a fault of the product. ledgerLimitsFor() makes transactions of 256 KB or two rows, whichever is more, so that any row fits; the model's limits broke that invariant. Change: 800 bytes more for names, state and lease in the model's transactions, draws as statements of their own, and 1,500 instead of 4,000 for the random part: else 496 transactions are divided where more than 1,000 are wanted, part of which had been the endless repetitions. Failed before and passes after on x86-64.

--- a/src/libfleet/job_record_test.cpp
+++ b/src/libfleet/job_record_test.cpp
@@ -32,7 +32,11 @@
         }
         m_limits.maxRowBytes = 400 + static_cast<std::size_t>(below(2000));
         m_limits.dividedRowBytes = m_limits.maxRowBytes;
-        m_limits.maxBatchBytes = m_limits.maxRowBytes * 2 + static_cast<std::size_t>(below(4000));
+        // Any row fits into a transaction, as in ledgerLimitsFor(): one in Base64, with names, the state and
+        // the lease.
+        constexpr std::size_t namesAndState = 800;
+        m_limits.maxBatchBytes
+            = m_limits.maxRowBytes * 2 + namesAndState + static_cast<std::size_t>(below(1500));
         begin("", {});
     }
 
@@ -97,8 +101,10 @@
         if (!task || task->done)
             return;
         if (below(3) == 0) {
-            task->checkpoint
-                = std::string(static_cast<std::size_t>(1 + below(60)), 'a' + static_cast<char>(below(26)));
+            // One draw a statement: the order in which arguments are evaluated differs between machines.
+            const auto length = static_cast<std::size_t>(1 + below(60));
+            const auto letter = static_cast<char>('a' + below(26));
+            task->checkpoint = std::string(length, letter);
             m_checkpoints[id].insert(task->checkpoint);
             job().dirty = true;
             return;
