--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -66,6 +66,7 @@
     /// The rows of the call's job.
     static TableTransaction jobTransaction(const Call& call);
     void onSubmitted(const CallPointer& call, TableResult<Version> result);
+    void logFailedAttempt(const Call& call, TableFailure failure) const;
     void readState(const CallPointer& call);
     void readRecord(const CallPointer& call, std::function<void(std::optional<JobRecord>)> onRead);
     void cancel(const CallPointer& call);
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -256,6 +256,7 @@
 {
     if (result)
         return reply(call, 200, "{}", "accepted");
+    logFailedAttempt(*call, result.error());
     // The row exists: an earlier attempt or an earlier request of the caller has written it.
     if (result.error() == TableFailure::Conflict)
         return confirmKnownJob(call);
@@ -275,6 +276,15 @@
     retry(call, &CallerService::commitJob);
 }
 
+void CallerService::logFailedAttempt(const Call& call, TableFailure failure) const
+{
+    logEvent(LogLevel::Info, "submission_attempt_failed",
+        { { "job", call.id }, { "queue", call.queue.name }, { "attempt", std::to_string(call.attempts) },
+            { "outcome", std::string(nameOf(tableFailureNames, failure)) },
+            { "caller", call.exchange->isOpen() ? "connected" : "left" },
+            { "ms", inMilliseconds(m_context.clock.now() - call.receivedAt) } });
+}
+
 void CallerService::confirmKnownJob(const CallPointer& call)
 {
     // All callers of a public queue may access all of its jobs.
