Keep a submission under way from storing a job that was cancelled

What callers saw: a caller got no answer to a submission, left, and cancelled the job at another node. Cause: the 410 was the result of one read. An attempt of the submission that had no response could still be performed by the table seconds later, and its node repeated it, since its only condition, that the job's row is absent, still held. Ruled out: a read that misses a row that is there; no row was older than its 410. Change: the cancellation of a job that isn't accepted writes a row (a fence) on the condition that the job's row is absent; each submission names the fence's absence as a condition. Fences are per organisation. Expired ones are removed by later cancellations, under an epoch that submissions name too, so that no attempt from before the removal takes effect, however late. A submission that meets its fence is answered 410. Why it works: the table decides between the two transactions, whoever makes or performs them, and when. WorkingEndpoints and two makers moved from pool_holder_test.cpp to holder_fakes_test.h for the model; no check has changed.

--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -36,6 +36,9 @@
     std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
     milliseconds keyRevocationTime { 0 }; ///< see NodeSettings
     AdmissionControl* admission = nullptr; ///< decides about submissions; nullptr: all are accepted
+    /// Shortest time for which a job that was cancelled before it was accepted stays cancelled, for requests
+    /// that submit it again.
+    milliseconds cancelledJobRetention { 60'000 };
 };
 
 /// Serves callers on any node. A job is accepted once its row is committed, whichever node will run it.
@@ -60,16 +63,26 @@
     bool mayAccessOrReply(const CallPointer& call, const JobRecord& record);
     void countRefusal(std::string_view reason);
     void submit(const CallPointer& call);
-    /// Replies to a submission whose job exists already.
-    void confirmKnownJob(const CallPointer& call);
+    /// Replies to a submission whose job exists already, was cancelled, or names an epoch that is over.
+    void resolveConflict(const CallPointer& call);
+    void resolveAbsentJob(const CallPointer& call);
+    /// Submits the job again under the present epoch of its part.
+    void renewEpoch(const CallPointer& call);
     void commitJob(const CallPointer& call);
-    /// The rows of the call's job.
+    /// The rows of the call's job, under conditions that its cancellation at any node makes fail.
     static TableTransaction jobTransaction(const Call& call);
     void onSubmitted(const CallPointer& call, TableResult<Version> result);
     void logFailedAttempt(const Call& call, TableFailure failure) const;
     void readState(const CallPointer& call);
     void readRecord(const CallPointer& call, std::function<void(std::optional<JobRecord>)> onRead);
+    /// Reads a row of jobTable in the call's part; replies to the call if that fails.
+    void readRow(const CallPointer& call, std::string key, std::function<void(const TableRow*)> onRead);
     void cancel(const CallPointer& call);
+    /// Keeps a job that is not accepted from being stored by any submission under way.
+    void commitFence(const CallPointer& call);
+    void onFenceConflict(const CallPointer& call);
+    /// Removes fences that are no longer needed, if there are many.
+    void removeExpiredFences(TableTransaction& transaction);
     void commitCancellation(const CallPointer& call);
     /// Calls \p operation again after a backoff.
     void retry(const CallPointer& call, void (CallerService::*operation)(const CallPointer&));
@@ -87,6 +100,11 @@
     CallerKeys m_keys; ///< of m_config
     bool m_directoryLoaded = false;
     std::size_t m_activeRequests = 0;
+    // Fences up to m_expiredVersion have been there for the retention, and those up to m_agingVersion since
+    // m_agingSince.
+    Version m_expiredVersion = 0;
+    Version m_agingVersion = 0;
+    TimePoint m_agingSince {};
 };
 
 } // namespace damask::fleet
--- a/src/include/damaskworks/job_directory.h
+++ b/src/include/damaskworks/job_directory.h
@@ -2,6 +2,7 @@
 /// Tables and keys of the rows of jobs, and a directory of all jobs: accepted, cancelled and their states.
 #pragma once
 
+#include <damaskworks/cancel_fences.h>
 #include <damaskworks/fleet_workload.h>
 #include <damaskworks/job.h>
 #include <damaskworks/shared_table.h>
@@ -78,6 +79,8 @@
     /// Returns the record of an accepted job, or nullptr.
     const JobRecord* find(const std::string& id) const;
     const std::unordered_map<std::string, JobRecord>& records() const { return m_records; }
+    /// Returns the fences of jobs that were cancelled before they were accepted.
+    const CancelFences& fences() const { return m_fences; }
     /// Returns the number of accepted jobs of a queue that are still queued.
     std::size_t pendingJobs(std::string_view queue) const;
     /// Returns the pools with jobs that have not ended. After a queue is routed to another pool, its earlier
@@ -85,6 +88,7 @@
     std::set<std::string> poolsWithUnfinishedJobs() const;
 
 private:
+    void applyFence(const TableRow& row);
     void applyTo(JobRecord& record, const TableRow& row);
     /// Tells the workload what has happened to a job; \p before is its state until then, if it was accepted.
     void recordChange(const JobRecord& record, std::optional<JobState> before);
@@ -92,6 +96,7 @@
     void updateCounts(const JobRecord& record, int amount);
 
     std::unordered_map<std::string, JobRecord> m_records;
+    CancelFences m_fences;
     std::map<std::string, std::size_t, std::less<>> m_pending; ///< number of queued jobs by queue
     std::map<std::string, std::size_t> m_unfinished; ///< number of jobs by pool
     Listener m_listener;
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -22,6 +22,10 @@
 /// The service refuses a submission after the table has refused this many attempts. One retry covers a
 /// transient refusal; more would only delay the response.
 constexpr int maxRefusedAttempts = 2;
+/// Fences are removed once so many of a part have expired, since each removal ends an epoch.
+constexpr std::size_t minExpiredFences = 24;
+/// Each removal takes three entries of a transaction.
+constexpr std::size_t maxRemovedFences = 30;
 
 std::string errorBody(std::string_view text) { return "{\"error\":\"" + std::string(text) + "\"}"; }
 
@@ -43,6 +47,7 @@
     TimePoint deadline {};
     JobSpec job;
     std::string part;
+    Version epoch = 0; ///< of the part; named by a submission
     int attempts = 0;
     bool mayHaveCommitted = false; ///< an attempt had an unknown outcome, or the job's row exists
     std::unique_ptr<Timer> timer;
@@ -212,6 +217,10 @@
     }
     if (isConfigOutdated())
         return refuseByOutdatedConfig(call);
+    const auto& fences = m_context.directory.fences();
+    if (fences.contains(call->part, rows::cancelFenceKey(call->id, call->caller.organisation)))
+        return reply(call, 410, errorBody("the job was cancelled"), "cancelled_before");
+    call->epoch = fences.epoch(call->part);
     auto job = m_context.codec.decodeSubmission(body);
     if (!job)
         return reply(call, 400, errorBody(describe(job.error())), "invalid");
@@ -238,7 +247,9 @@
 {
     const std::string table(jobTable);
     const auto key = rows::jobKey(call.id);
-    TableTransaction transaction { call.part, { { table, key, 0 } },
+    TableTransaction transaction { call.part,
+        { { table, key, 0 }, { table, rows::cancelFenceKey(call.id, call.job.organisation), 0 },
+            { table, std::string(rows::submissionEpochKey), call.epoch } },
         { { table, key, encodeJob(call.job) } } };
     if (call.job.specBytes > 0)
         transaction.writes.push_back({ std::string(specTable), call.id, call.job.spec });
@@ -257,9 +268,8 @@
     if (result)
         return reply(call, 200, "{}", "accepted");
     logFailedAttempt(*call, result.error());
-    // The row exists: an earlier attempt or an earlier request of the caller has written it.
     if (result.error() == TableFailure::Conflict)
-        return confirmKnownJob(call);
+        return resolveConflict(call);
     if (result.error() == TableFailure::Invalid)
         return reply(
             call, call->mayHaveCommitted ? 504 : 503, errorBody("the job can't be stored"), "invalid_row");
@@ -285,20 +295,44 @@
             { "ms", inMilliseconds(m_context.clock.now() - call.receivedAt) } });
 }
 
-void CallerService::confirmKnownJob(const CallPointer& call)
+void CallerService::resolveConflict(const CallPointer& call)
 {
-    // All callers of a public queue may access all of its jobs.
-    if (call->caller.access == CallerAccess::Public)
-        return reply(call, 200, "{}", "known");
     call->mayHaveCommitted = true;
     readRecord(call, [this, call](const std::optional<JobRecord>& record) {
         if (!record)
-            return reply(call, 504, errorBody("the job may have been accepted"), "outcome_unknown");
+            return resolveAbsentJob(call);
+        // An earlier attempt or an earlier request of the caller has stored the job.
         if (mayAccessOrReply(call, *record))
             reply(call, 200, "{}", "known");
     });
 }
 
+void CallerService::resolveAbsentJob(const CallPointer& call)
+{
+    // The conflict came from the fence or the epoch, which keep out all attempts so far.
+    call->mayHaveCommitted = false;
+    const auto key = rows::cancelFenceKey(call->id, call->job.organisation);
+    readRow(call, key, [this, call](const TableRow* fence) {
+        if (fence)
+            return reply(call, 410, errorBody("the job was cancelled"), "cancelled_before");
+        renewEpoch(call);
+    });
+}
+
+void CallerService::renewEpoch(const CallPointer& call)
+{
+    // A fence that was written since this call arrived may have been removed, unless the call is far younger
+    // than the fences that are.
+    const bool mayHaveBeenFenced
+        = m_context.clock.now() - call->receivedAt >= m_context.cancelledJobRetention / 2;
+    if (mayHaveBeenFenced || !hasTimeLeft(*call))
+        return reply(call, 503, errorBody("the job was not stored in time"), "epoch_over");
+    readRow(call, std::string(rows::submissionEpochKey), [this, call](const TableRow* epoch) {
+        call->epoch = epoch ? epoch->version : 0;
+        retry(call, &CallerService::commitJob);
+    });
+}
+
 void CallerService::readState(const CallPointer& call)
 {
     if (const auto* record = m_context.directory.find(call->id)) {
@@ -314,41 +348,110 @@
     });
 }
 
-void CallerService::readRecord(const CallPointer& call, std::function<void(std::optional<JobRecord>)> onRead)
+void CallerService::readRow(
+    const CallPointer& call, std::string key, std::function<void(const TableRow*)> onRead)
 {
     ++call->attempts;
-    const auto key = rows::jobKey(call->id);
     m_context.table.read(std::string(jobTable), call->part, key, 1,
         [this, call, key, onRead = std::move(onRead)](TableResult<TableRows> rows) {
             if (!rows)
                 return reply(call, call->mayHaveCommitted ? 504 : 503, errorBody("the table can't be read"),
                     "table_unreachable");
-            if (rows->rows.empty() || rows->rows.front().key != key)
-                return onRead(std::nullopt);
-            JobDirectory singleJob;
-            singleJob.apply(rows->rows.front());
-            const auto* record = singleJob.find(call->id);
-            onRead(record ? std::optional(*record) : std::nullopt);
+            const bool isFound = !rows->rows.empty() && rows->rows.front().key == key;
+            onRead(isFound ? &rows->rows.front() : nullptr);
         });
 }
 
+void CallerService::readRecord(const CallPointer& call, std::function<void(std::optional<JobRecord>)> onRead)
+{
+    readRow(call, rows::jobKey(call->id), [call, onRead = std::move(onRead)](const TableRow* row) {
+        if (!row)
+            return onRead(std::nullopt);
+        JobDirectory singleJob;
+        singleJob.apply(*row);
+        const auto* record = singleJob.find(call->id);
+        onRead(record ? std::optional(*record) : std::nullopt);
+    });
+}
+
 void CallerService::cancel(const CallPointer& call)
 {
-    if (const auto* record = m_context.directory.find(call->id)) {
-        if (!mayAccessOrReply(call, *record))
-            return;
-        if (record->cancelled || isFinal(record->state))
-            return reply(call, 200, "{}", "ended");
-        return commitCancellation(call);
-    }
-    readRecord(call, [this, call](const std::optional<JobRecord>& record) {
-        if (!record)
+    const auto* record = m_context.directory.find(call->id);
+    if (!record)
+        return commitFence(call);
+    if (!mayAccessOrReply(call, *record))
+        return;
+    if (record->cancelled || isFinal(record->state))
+        return reply(call, 200, "{}", "ended");
+    commitCancellation(call);
+}
+
+void CallerService::commitFence(const CallPointer& call)
+{
+    ++call->attempts;
+    const std::string table(jobTable);
+    TableTransaction transaction { call->part, { { table, rows::jobKey(call->id), 0 } },
+        { { table, rows::cancelFenceKey(call->id, call->caller.organisation), "{}" } } };
+    if (const auto excess = findExcess(transaction, m_context.maxRowBytes); !excess.empty())
+        return reply(call, 503, errorBody("the cancellation can't be stored: " + excess), "invalid_row");
+    if (call->attempts == 1)
+        removeExpiredFences(transaction);
+    m_context.metrics.gauge("cancel_fences", static_cast<double>(m_context.directory.fences().size()));
+    m_context.table.commit(transaction, attemptTimeout(*call), [this, call](TableResult<Version> result) {
+        if (result)
             return reply(call, 410, errorBody("no such job"), "absent");
-        if (mayAccessOrReply(call, *record))
-            commitCancellation(call);
+        if (result.error() == TableFailure::Conflict)
+            return onFenceConflict(call);
+        if (result.error() == TableFailure::Invalid)
+            return reply(call, 503, errorBody("the cancellation can't be stored"), "invalid_row");
+        if (!hasTimeLeft(*call))
+            return reply(call, 504, errorBody("the job may have been cancelled"), "outcome_unknown");
+        retry(call, &CallerService::commitFence);
     });
 }
 
+void CallerService::onFenceConflict(const CallPointer& call)
+{
+    readRecord(call, [this, call](const std::optional<JobRecord>& record) {
+        if (record) {
+            if (mayAccessOrReply(call, *record))
+                commitCancellation(call);
+            return;
+        }
+        // Another node has removed an expired fence meanwhile.
+        if (!hasTimeLeft(*call))
+            return reply(call, 504, errorBody("the job may have been cancelled"), "outcome_unknown");
+        retry(call, &CallerService::commitFence);
+    });
+}
+
+void CallerService::removeExpiredFences(TableTransaction& transaction)
+{
+    const auto& fences = m_context.directory.fences();
+    const auto now = m_context.clock.now();
+    if (now - m_agingSince >= m_context.cancelledJobRetention) {
+        m_expiredVersion = m_agingVersion;
+        m_agingVersion = fences.newestVersion();
+        m_agingSince = now;
+    }
+    const auto expired = fences.oldest(transaction.part, m_expiredVersion, maxRemovedFences);
+    if (expired.size() < minExpiredFences)
+        return;
+    const std::string table(jobTable);
+    const auto ownKey = transaction.writes.front().key;
+    for (const auto& fence : expired) {
+        // Earlier builds store jobs in spite of their fences, which then keep the jobs cancelled.
+        const std::string job(parseCancelFenceKey(fence.key).job);
+        if (fence.key == ownKey || m_context.directory.find(job))
+            continue;
+        transaction.preconditions.push_back({ table, rows::jobKey(job), 0 });
+        transaction.preconditions.push_back({ table, fence.key, fence.version });
+        transaction.writes.push_back({ table, fence.key, std::nullopt });
+    }
+    transaction.writes.push_back({ table, std::string(rows::submissionEpochKey), "{}" });
+    m_context.metrics.count("cancel_fence_removals_total");
+}
+
 void CallerService::commitCancellation(const CallPointer& call)
 {
     ++call->attempts;
--- a/src/libfleet/fakes_test.h
+++ b/src/libfleet/fakes_test.h
@@ -37,10 +37,15 @@
     int rejectedTransactions = 0;
     int readsToFail = 0; ///< number of next reads to refuse
     int maxOpenReads = 0; ///< highest number of concurrent reads so far
+    int commits = 0; ///< calls of commit() so far
+    int reads = 0; ///< calls of read() so far
+    /// Called with each row that changes, and its table.
+    std::function<void(const std::string& table, const TableRow& row)> onChange;
 
     void commit(const TableTransaction& transaction, std::chrono::milliseconds,
         TableCallback<Version> callback) override
     {
+        ++commits;
         const auto fault = faults.empty() ? CommitFault::None : faults.front();
         if (!faults.empty())
             faults.pop_front();
@@ -61,6 +66,7 @@
     void read(const std::string& table, const std::string& part, const std::string& from, int limit,
         TableCallback<TableRows> callback) override
     {
+        ++reads;
         maxOpenReads = std::max(maxOpenReads, ++m_openReads);
         if (readsToFail > 0) {
             --readsToFail;
@@ -101,11 +107,18 @@
     int applyDelayed()
     {
         int done = 0;
-        for (const auto& transaction : m_delayed)
+        for (const auto& transaction : std::exchange(m_delayed, {}))
             done += apply(transaction).has_value();
-        m_delayed.clear();
         return done;
     }
+    std::size_t delayedTransactions() const { return m_delayed.size(); }
+    /// Applies one delayed transaction if its expectations still hold.
+    void applyDelayed(std::size_t index)
+    {
+        const auto transaction = m_delayed.at(index);
+        m_delayed.erase(m_delayed.begin() + static_cast<std::ptrdiff_t>(index));
+        apply(transaction);
+    }
 
     const TableRow* find(const std::string& table, const std::string& part, const std::string& key) const
     {
@@ -160,6 +173,9 @@
                 m_rows[key] = { transaction.part, write.key, *write.value, m_version };
             else
                 m_rows.erase(key);
+            if (onChange)
+                onChange(write.table,
+                    { transaction.part, write.key, write.value.value_or(""), m_version, !write.value });
         }
         return m_version;
     }
--- a/src/libfleet/fleet_node.cpp
+++ b/src/libfleet/fleet_node.cpp
@@ -62,7 +62,7 @@
     , m_callers({ loop.base(), clock, m_metrics, *m_adapter.table, *m_adapter.codec, m_directory,
           [this] { return m_jobRows.currentAsOf(); }, [this] { return m_operatorRows.currentAsOf(); },
           m_settings.configApplyTime, m_tableContact, m_settings.maxRowBytes, m_settings.keyRevocationTime,
-          m_admission.get() })
+          m_admission.get(), m_settings.endedJobRetention })
     , m_operatorRows(
           loop.base(), *m_adapter.table, clock, m_metrics, operatorTableSettings(*m_adapter.codec), seed + 1)
     , m_controlRows(
--- a/src/libfleet/job_directory.cpp
+++ b/src/libfleet/job_directory.cpp
@@ -74,6 +74,9 @@
         record.organisation = job->organisation;
         record.work = workOf(*job);
         record.version = row.version;
+        // Earlier builds store a job in spite of its fence.
+        record.cancelled = record.cancelled
+            || m_fences.contains(row.part, rows::cancelFenceKey(job->id, job->organisation));
         return;
     }
     case 'c':
@@ -88,8 +91,27 @@
     }
 }
 
+void JobDirectory::applyFence(const TableRow& row)
+{
+    m_fences.apply(row);
+    const auto fenced = parseCancelFenceKey(row.key);
+    const auto found = m_records.find(std::string(fenced.job));
+    const bool isStored = !row.deleted && found != m_records.end() && found->second.isAccepted()
+        && found->second.organisation == fenced.organisation
+        && rows::jobPart(found->second.queue, fenced.job) == row.part;
+    if (!isStored || found->second.cancelled)
+        return;
+    updateCounts(found->second, -1);
+    found->second.cancelled = true;
+    updateCounts(found->second, 1);
+    if (m_listener)
+        m_listener(found->first, found->second);
+}
+
 void JobDirectory::apply(const TableRow& row)
 {
+    if (isCancelFenceRow(row.key))
+        return applyFence(row);
     if (row.key.size() <= keyPrefixLength)
         return;
     const auto id = row.key.substr(keyPrefixLength);
@@ -116,6 +138,7 @@
 void JobDirectory::reset(const std::vector<TableRow>& rows)
 {
     m_records.clear();
+    m_fences.clear();
     m_pending.clear();
     m_unfinished.clear();
     if (m_workload)
--- a/src/libfleet/pool_holder_test.cpp
+++ b/src/libfleet/pool_holder_test.cpp
@@ -1,12 +1,8 @@
 /// Commands and lease of a holder whose passes take long.
-#include "fakes_test.h"
-
-#include <damaskworks/job_directory.h>
-#include <damaskworks/pool_holder.h>
+#include "holder_fakes_test.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <set>
 
 using namespace damask;
 using namespace damask::fleet;
@@ -52,72 +48,6 @@
     ManualClock& m_clock;
 };
 
-/// VMs whose tasks are done as soon as they are started.
-class WorkingEndpoints final : public EndpointControl {
-public:
-    explicit WorkingEndpoints(ManualClock& clock)
-        : m_clock(clock)
-    {
-    }
-
-    std::set<std::string> startedJobs;
-
-    void start(const VmTarget&, const StartCommand& command, CommandCallback callback) override
-    {
-        startedJobs.insert(command.task.job);
-        m_ends.push_back({ ++m_endCount, command.task, command.run, EndKind::Done, "" });
-        m_responses.push_back([this, callback = std::move(callback)] {
-            callback({ CommandOutcome::Accepted, vmClock() });
-        });
-    }
-    void stop(const VmTarget&, const TaskId&, std::uint32_t, CommandCallback) override { }
-    void heartbeat(const VmTarget&, const HeartbeatCommand& command, ReportCallback callback) override
-    {
-        std::erase_if(m_ends, [&](const EndReport& end) { return end.number <= command.acknowledged; });
-        m_responses.push_back([this, callback = std::move(callback)] {
-            VmReport report;
-            report.vmClock = vmClock();
-            report.bootTime = 1;
-            constexpr std::size_t maxListedEnds = 500;
-            report.ended.assign(m_ends.begin(),
-                m_ends.begin() + static_cast<std::ptrdiff_t>(std::min(m_ends.size(), maxListedEnds)));
-            callback(report);
-        });
-    }
-    void throttle(const VmTarget&, const TaskId&, std::uint32_t, int, CommandCallback) override { }
-
-    void respond()
-    {
-        for (auto& response : std::exchange(m_responses, {}))
-            response();
-    }
-
-private:
-    milliseconds vmClock() const
-    {
-        return std::chrono::duration_cast<milliseconds>(m_clock.now().time_since_epoch());
-    }
-
-    ManualClock& m_clock;
-    std::uint64_t m_endCount = 0;
-    std::vector<EndReport> m_ends; ///< not acknowledged
-    std::vector<std::function<void()>> m_responses;
-};
-
-class NoMachines final : public MachineControl {
-public:
-    void list(std::function<void(tl::expected<std::vector<Machine>, CommandOutcome>)>) override { }
-    void move(const std::string&, const std::string&, std::uint64_t, CommandCallback) override { }
-    void startMaintenance(const std::string&, std::int64_t, std::uint64_t, CommandCallback) override { }
-};
-
-class NoAdvice final : public AdviceControl {
-public:
-    void requestAdvice(const StepId&, const std::vector<std::string>&, milliseconds, AdviceCallback) override
-    {
-    }
-};
-
 /// The first holder of pool "pricing", with one VM and a job of startCount tasks. The lease counts from
 /// leaseSentAt.
 struct HolderFixture {
@@ -149,27 +79,7 @@
             [this] { return isReady; } };
         holder = std::make_unique<PoolHolder>(
             context, "pricing", AcquiredLease { lease, version, leaseSentAt }, timing, 4500ms, [] {}, [] {});
-        holder->begin(makeConfig(), { { "v1", makeVm() } });
-    }
-
-    static FleetConfig makeConfig()
-    {
-        FleetConfig config;
-        Queue queue;
-        queue.name = "quotes";
-        queue.pool = "pricing";
-        config.queues.push_back(queue);
-        return config;
-    }
-
-    static VmRegistration makeVm()
-    {
-        VmRegistration vm;
-        vm.id = "v1";
-        vm.machine = "m1";
-        vm.pool = "pricing";
-        vm.capacity = { 32'000, 32'000, 0 };
-        return vm;
+        holder->begin(makeHolderConfig(), { { "v1", makeHolderVm() } });
     }
 
     void addJob()
@@ -233,7 +143,7 @@
         holder = std::make_unique<PoolHolder>(
             context, "pricing", AcquiredLease { lease, version, clock.now() }, LeaseTiming {}, 4500ms, [] {},
             [] {});
-        holder->begin(HolderFixture::makeConfig(), { { "v1", HolderFixture::makeVm() } });
+        holder->begin(makeHolderConfig(), { { "v1", makeHolderVm() } });
     }
 
     /// Hands in a job with one task, or one a time.
--- a/src/libfleet/table_limits.cpp
+++ b/src/libfleet/table_limits.cpp
@@ -29,6 +29,8 @@
         bytes += encodedSize(write, transaction.part);
         longestName = std::max(longestName, write.key.size());
     }
+    for (const auto& precondition : transaction.preconditions)
+        longestName = std::max(longestName, precondition.key.size());
     if (longestName > maxNameBytes)
         return "a name of " + std::to_string(longestName) + " bytes, at most " + std::to_string(maxNameBytes)
             + " fit";
