Make no further attempt at a submission for a caller that has left

What callers saw: a job that nobody waited for, and nobody had cancelled yet, was stored by a later attempt. On busy seconds of a table that loses answers these attempts came on top of those of the callers' next requests. Ruled out: the same for cancellations; their callers still want the job to end, so they go on. Change: with the caller gone, the request ends as unknown (outcome caller_left); its answer is dropped. Conclusion: a caller that comes back sends its request again, at any node, which finds the job or stores it.

--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -279,6 +279,9 @@
         = !call->mayHaveCommitted && (call->attempts >= maxRefusedAttempts || isTableUnreachable);
     if (isRefused)
         return reply(call, 503, errorBody("the table does not take the job"), "not_accepted");
+    // Nobody waits for the result of a further attempt; a caller that comes back sends its request again.
+    if (!call->exchange->isOpen())
+        return reply(call, 504, errorBody("the job may have been accepted"), "caller_left");
     // This node can't find out whether the job was accepted; another node can.
     if (!hasTimeLeft(*call) || isTableUnreachable)
         return reply(call, call->mayHaveCommitted ? 504 : 503, errorBody("the job may have been accepted"),
--- a/src/libfleet/cancel_fences_test.cpp
+++ b/src/libfleet/cancel_fences_test.cpp
@@ -77,6 +77,24 @@
     }
 }
 
+// The node stored a job for a caller that had left, and that had not cancelled it.
+BOOST_AUTO_TEST_CASE(attemptIsNotRepeatedForACallerThatHasLeft)
+{
+    table.faults = { CommitFault::Refused };
+    const auto submission = send(0, "POST", job);
+    submission->leave();
+    BOOST_REQUIRE(loop.runUntil([&] { return nodes[0]->service->activeRequests() == 0; }, 10s));
+    BOOST_TEST(table.commits == 1);
+    BOOST_TEST(!isStored(job));
+    // A cancellation goes on: its caller has left, and still wants the job to end.
+    BOOST_TEST(call(0, "POST", job) == 200);
+    table.faults = { CommitFault::Refused };
+    send(1, "DELETE", job)->leave();
+    BOOST_REQUIRE(loop.runUntil([&] { return nodes[1]->service->activeRequests() == 0; }, 10s));
+    followAll();
+    BOOST_TEST(nodes[0]->directory.find(job)->cancelled);
+}
+
 // A repetition of the submission ran although its cancellation was acknowledged.
 BOOST_AUTO_TEST_CASE(repetitionOfACancelledSubmissionIsRejectedOnEveryNode)
 {
