Takeover model: callers that leave and cancel while rows are written late

Change: jobs whose row is written at once or up to 6 s later, and whose cancellation is acknowledged at any time; holders see it up to 0.5 s later, or take it over. A start sent more than 3 s after the acknowledgement is a violation. With fences off (ModelOptions::fencesCancellations) the model has to find one.

--- a/src/libscheduler/takeover_model_test.cpp
+++ b/src/libscheduler/takeover_model_test.cpp
@@ -18,6 +18,11 @@
 
 namespace {
 
+/// How late a holder may send a start after the cancellation was acknowledged.
+constexpr milliseconds maxStartAfterCancel { 3000 };
+/// Longest time after which holders see a cancellation.
+constexpr int maxCancelLagMs = 500;
+constexpr int maxWriteDelayMs = 6000;
 /// How late a copy may start after the end of its task was acknowledged.
 constexpr milliseconds maxCopyDelay { 1000 };
 
@@ -36,6 +41,10 @@
     /// Steps without gangs and long-running tasks are speculative, and a fifth of their runs take seven times
     /// as long.
     bool speculates = false;
+    /// Callers leave without an answer and cancel their jobs, while the rows of some jobs are written late.
+    bool cancels = false;
+    /// A cancellation of a job without a row keeps its row from being written, see CancelFences.
+    bool fencesCancellations = true;
 };
 
 struct ModelRun {
@@ -206,6 +215,8 @@
             atRandom([this] { cutOff(anyVm()); });
         for (int i = between(8, 20); i > 0; --i)
             atRandom([this] { submitJob(); });
+        for (int i = m_options.cancels ? between(8, 20) : 0; i > 0; --i)
+            atRandom([this] { submitAndCancel(); });
         m_lateShare = chance(0.7) ? 0.3 * between(0, 10) / 10 : 0;
     }
 
@@ -260,6 +271,8 @@
         }
         for (const auto& [id, job] : m_jobs)
             addJob(state, job, m_records[id], state.term > 0);
+        for (const auto& id : m_cancelRows)
+            cancelJob(state, id);
     }
 
     void crash(const std::string& id)
@@ -303,10 +316,40 @@
         });
     }
 
-    void submitJob()
+    /// Writes a job's row at once or late, and cancels the job at any time.
+    void submitAndCancel()
+    {
+        const auto job = drawJob();
+        const auto delay = chance(0.5) ? msBetween(0, 50) : msBetween(1000, maxWriteDelayMs);
+        after(delay, [this, job] {
+            if (!m_cancelRows.contains(job.id))
+                storeJob(job);
+        });
+        after(msBetween(20, maxWriteDelayMs), [this, id = job.id] {
+            m_cancelledAt.emplace(id, now());
+            if (!m_jobs.contains(id) && !m_options.fencesCancellations)
+                return;
+            m_cancelRows.insert(id);
+            after(msBetween(0, maxCancelLagMs),
+                [this, id] { callHolder(m_holderNumber, [this, id] { cancelJob(m_holder->state, id); }); });
+        });
+    }
+
+    void submitJob() { storeJob(drawJob()); }
+
+    void storeJob(const JobSpec& job)
+    {
+        m_jobs.emplace(job.id, job);
+        callHolder(m_holderNumber, [this, job] {
+            if (!m_holder->state.jobs.contains(job.id))
+                addJob(m_holder->state, job, "", false);
+        });
+    }
+
+    JobSpec drawJob()
     {
         JobSpec job;
-        job.id = "j" + std::to_string(m_jobs.size());
+        job.id = "j" + std::to_string(m_jobCount++);
         job.queue = "quotes";
         job.pool = "pricing";
         job.acceptedAt = wallNow();
@@ -321,11 +364,7 @@
                 step.after = { i - 1 };
             job.steps.push_back(step);
         }
-        m_jobs.emplace(job.id, job);
-        callHolder(m_holderNumber, [this, job] {
-            if (!m_holder->state.jobs.contains(job.id))
-                addJob(m_holder->state, job, "", false);
-        });
+        return job;
     }
 
     // VMs
@@ -590,6 +629,9 @@
 
     void sendStart(const StartAction& start)
     {
+        const auto cancelled = m_cancelledAt.find(start.command.task.job);
+        if (cancelled != m_cancelledAt.end() && now() > cancelled->second + maxStartAfterCancel)
+            m_violation += "start of " + toString(start.command.task) + " long after its cancellation; ";
         const auto sentAt = now();
         const auto apply = [this, start, sentAt](CommandOutcome outcome, milliseconds vmClock) {
             applyResponse(start.vm, outcome, sentAt, vmClock);
@@ -919,7 +961,10 @@
     double m_lateShare = 0;
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::map<std::string, ModelVm> m_vms; ///< by id; a VM that has been replaced stays as one that is down
-    std::map<std::string, JobSpec> m_jobs;
+    std::map<std::string, JobSpec> m_jobs; ///< by id; those with a row
+    int m_jobCount = 0;
+    std::map<std::string, TimePoint> m_cancelledAt; ///< when a cancellation was acknowledged, by job
+    std::set<std::string> m_cancelRows; ///< jobs with the row of a cancellation
     std::map<std::string, std::string> m_records; ///< durable progress, by job
     std::map<TaskId, TimePoint> m_acknowledgedDone;
     std::uint64_t m_copies = 0;
@@ -1013,6 +1058,31 @@
     BOOST_TEST(doneEnds > 5 * seeds);
 }
 
+// A job was started long after its cancellation was acknowledged, by holders that follow each other.
+BOOST_AUTO_TEST_CASE(cancelledJobsAreNotStartedAcrossTakeovers)
+{
+    std::uint64_t starts = 0;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+        TakeoverModel model(seed, { .visitsChangedVms = seed % 2 == 0, .cancels = true });
+        model.run(45s);
+        BOOST_TEST(model.violation() == "", "seed " << seed << ": " << model.violation());
+        starts += model.starts();
+    }
+    BOOST_TEST(starts > 10 * seeds);
+}
+
+// The model finds jobs whose rows are written after their cancellation was acknowledged (review/8).
+BOOST_AUTO_TEST_CASE(modelFindsStartsOfCancelledJobsWithoutFences)
+{
+    int found = 0;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds && found == 0; ++seed) {
+        TakeoverModel model(seed, { .cancels = true, .fencesCancellations = false });
+        model.run(45s);
+        found += !model.violation().empty();
+    }
+    BOOST_TEST(found > 0);
+}
+
 // The model finds tasks that a new holder starts beside runs that it doesn't know.
 BOOST_AUTO_TEST_CASE(modelFindsStartsWithoutAWaitAfterATakeover)
 {
