Soak: callers that leave without an answer and cancel at any node

Change: 410 acknowledges a cancellation like 200. A job that was cancelled so must not start later than 3 s after, and must not be reported as accepted, before or after. Four callers a second leave after 20 to 420 ms without an answer and cancel at any node; their jobs have four steps of 1.5 s, so later steps show what still runs. The random numbers of the other faults stay as they were. Replaced: the repetition after 410 in Soak::cancel(); stricter, as each 410 is now checked.

--- a/testsuite/soak/checker.cpp
+++ b/testsuite/soak/checker.cpp
@@ -106,6 +106,27 @@
         record.acknowledgedFailures.insert(run);
 }
 
+void Checker::recordAcceptance(const std::string& id)
+{
+    auto& job = jobs.at(id);
+    job.submissionResult = SubmissionResult::Accepted;
+    if (job.isFenced)
+        reportViolation(id + " is reported as accepted after a cancellation that knew no such job");
+}
+
+void Checker::recordCancellation(const std::string& id, bool isKnown)
+{
+    auto& job = jobs.at(id);
+    if (job.isCancelled())
+        return;
+    job.cancelledAt = std::chrono::steady_clock::now();
+    job.isFenced = !isKnown;
+    if (isKnown && job.submissionResult == SubmissionResult::Unknown)
+        job.submissionResult = SubmissionResult::Accepted;
+    if (job.isFenced && job.submissionResult == SubmissionResult::Accepted)
+        reportViolation(id + " was accepted, and its cancellation knows no such job");
+}
+
 void Checker::recordRefusal(const std::string& id)
 {
     auto& job = jobs.at(id);
@@ -136,7 +157,7 @@
 
 bool Checker::isFinished(const JobRecord& job) const
 {
-    return job.submissionResult == SubmissionResult::Refused || !job.finalState.empty();
+    return job.submissionResult == SubmissionResult::Refused || job.isFenced || !job.finalState.empty();
 }
 
 int Checker::activeRunCount() const
--- a/testsuite/soak/checker.h
+++ b/testsuite/soak/checker.h
@@ -36,6 +36,7 @@
     bool crashesVms = false; ///< each run of its tasks crashes its VM
     bool isCancelRequested = false;
     std::chrono::steady_clock::time_point cancelledAt {}; ///< when acknowledged; zero if not cancelled
+    bool isFenced = false; ///< the acknowledgement said that no such job exists
     int startCount = 0;
     std::map<TaskId, TaskRecord> tasks;
     std::string finalState; ///< as reported to the caller; empty until then
@@ -57,11 +58,15 @@
     void acknowledged(const TaskId& task, std::uint32_t run, const std::string& how) override;
     void crashed(const std::string& vm, const TaskId& task) override;
     void reportViolation(const std::string& what) override;
+    /// Records that the caller was told that the job is accepted.
+    void recordAcceptance(const std::string& job);
+    /// Records that the caller's cancellation was acknowledged; \p isKnown: of a job that was accepted.
+    void recordCancellation(const std::string& job, bool isKnown);
     /// Records that the caller got a final refusal of the job.
     void recordRefusal(const std::string& job);
     /// Records and checks the final state that the caller was shown.
     void recordFinalState(const std::string& job, const std::string& state);
-    /// Whether the job was refused or has a final state.
+    /// Whether the job was refused, was cancelled before it was accepted, or has a final state.
     bool isFinished(const JobRecord& job) const;
     /// Whether the job is finished or, since it crashes VMs, need not be.
     bool mayRemainAsItIs(const JobRecord& job) const { return isFinished(job) || job.crashesVms; }
--- a/testsuite/soak/checker_test.cpp
+++ b/testsuite/soak/checker_test.cpp
@@ -85,6 +85,25 @@
     BOOST_TEST(checker.violations.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(jobThatWasCancelledWhileUnknownIsNeitherAcceptedNorStarted)
+{
+    checker.recordCancellation(jobId, false);
+    BOOST_TEST(checker.isFinished(job()));
+    BOOST_TEST(checker.violations.empty());
+    checker.recordAcceptance(jobId);
+    BOOST_TEST(checker.violations.size() == 1U);
+    job().cancelledAt -= std::chrono::seconds(4);
+    start("i-1", 1);
+    BOOST_TEST(checker.violations.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(cancellationOfAnAcceptedJobMustKnowIt)
+{
+    checker.recordAcceptance(jobId);
+    checker.recordCancellation(jobId, false);
+    BOOST_TEST(checker.violations.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(jobMayBeShownAsFailedOnlyAfterItsLastAttempt)
 {
     for (std::uint32_t run = 1; run <= 3; ++run) {
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -55,6 +55,11 @@
 /// the longest quarantine of a VM (16 s) and the work itself on an unloaded fleet.
 constexpr seconds finishTimeout { 45 };
 constexpr int maxSubmitAttempts = 5;
+constexpr milliseconds leavingCallerInterval { 250 };
+/// Callers leave if they have no answer within this time.
+constexpr int minPatienceMs = 20;
+constexpr int patienceSpreadMs = 400;
+constexpr int stepsOfLeftJob = 4;
 constexpr milliseconds retryDelay { 300 };
 constexpr int machinesPerPool = 4;
 constexpr std::uint16_t callerPort = 7001;
@@ -80,6 +85,7 @@
     , m_lateRandom(seed + 6)
     , m_takeoverRandom(seed + 7)
     , m_limitRandom(seed + 8)
+    , m_leavingRandom(seed + 9)
     , m_options(options)
     , m_folder(std::move(folder))
     , m_platform(m_loop.base(), m_checker, seed + 1)
@@ -189,6 +195,38 @@
         schedule(milliseconds(randomBelow(isLongRunning ? 4000 : 600)), [this, id] { cancel(id); });
 }
 
+void Soak::submitAndLeave()
+{
+    auto id = std::to_string(m_leftJobCount++);
+    id.insert(0, 15 - id.size(), '0');
+    id.insert(0, 1, 'd');
+    auto& job = m_checker.jobs[id];
+    job.queue = m_queues[static_cast<std::size_t>(randomLeavingBelow(static_cast<int>(m_queues.size())))];
+    // The second step starts long after the cancellation, unless that ends the job.
+    const TaskBehaviour work { 1500, 0, false, 50, 0 };
+    job.spec.id = id;
+    job.spec.spec = encodeBehaviour(work);
+    fleet::StepSpec step;
+    step.need.cpu = work.cpu;
+    step.estimate = milliseconds(work.milliseconds);
+    for (int i = 0; i < stepsOfLeftJob; ++i) {
+        if (i > 0)
+            step.after = { i - 1 };
+        job.spec.steps.push_back(step);
+    }
+    const milliseconds patience(minPatienceMs + randomLeavingBelow(patienceSpreadMs));
+    const auto node = [this]() -> const Node& {
+        return m_nodes[static_cast<std::size_t>(randomLeavingBelow(static_cast<int>(m_nodes.size())))];
+    };
+    m_client.send(node().addresses.callers, submission(job.queue, job.spec), patience,
+        [this, id](const HttpResult& result) {
+            if (result && result->status == 200)
+                return m_checker.recordAcceptance(id);
+            // Also a refused job is cancelled, which is then known to nobody.
+            cancel(id);
+        });
+}
+
 void Soak::submitLongJob()
 {
     auto id = std::to_string(m_longJobCount++);
@@ -238,11 +276,11 @@
     const auto& job = m_checker.jobs.at(id);
     m_client.send(randomNode().addresses.callers, submission(job.queue, job.spec), callTimeout,
         [this, id, attempt, mayBeStored](const HttpResult& result) {
-            auto& job = m_checker.jobs.at(id);
-            if (result && result->status == 200) {
-                job.submissionResult = SubmissionResult::Accepted;
+            if (result && result->status == 200)
+                return m_checker.recordAcceptance(id);
+            // A job that was cancelled before it was accepted is rejected for good.
+            if (result && result->status == 410 && m_checker.jobs.at(id).isCancelRequested)
                 return;
-            }
             const bool refused
                 = result ? result->status == 503 || result->status == 429 : !result.error().mayHaveBeenSent;
             const bool unknown = mayBeStored || !refused;
@@ -263,12 +301,11 @@
     job.isCancelRequested = true;
     m_client.send(randomNode().addresses.callers, cancellation(job.queue, id), callTimeout,
         [this, id](const HttpResult& result) {
-            auto& job = m_checker.jobs.at(id);
-            if (job.isCancelled())
+            if (m_checker.jobs.at(id).isCancelled())
                 return;
-            if (result && result->status == 200)
-                job.cancelledAt = std::chrono::steady_clock::now();
-            else // also if the job is unknown: its submission may still be in progress
+            if (result && (result->status == 200 || result->status == 410))
+                m_checker.recordCancellation(id, result->status == 200);
+            else
                 schedule(retryDelay, [this, id] { cancel(id); });
         });
 }
@@ -382,6 +419,7 @@
     });
     Timer probes(m_loop.base(), [this] { probeConfigs(); });
     Timer largeJobs(m_loop.base(), [this] { submitLargeJob(); });
+    Timer leavingCallers(m_loop.base(), [this] { submitAndLeave(); });
     Timer silentConnections(m_loop.base(), [this, &silentConnections] {
         silenceConnections();
         silentConnections.startOnce(
@@ -390,6 +428,7 @@
     traffic.startPeriodic(jobInterval);
     probes.startPeriodic(probeInterval);
     largeJobs.startPeriodic(largeJobInterval);
+    leavingCallers.startPeriodic(leavingCallerInterval);
     silentConnections.startOnce(
         milliseconds(randomLimitBelow(silentConnectionsSpreadMs)) + minSilentConnectionsInterval);
     configs.startOnce(milliseconds(1000));
@@ -402,6 +441,7 @@
     m_loop.runUntil([] { return false; }, length);
     traffic.stop();
     largeJobs.stop();
+    leavingCallers.stop();
     silentConnections.stop();
     faults.stop();
     configs.stop();
@@ -429,10 +469,10 @@
         m_checker.reportViolation(std::to_string(m_platform.table().rejectedCalls())
             + " calls exceeded a limit of the table, the last one with "
             + m_platform.table().lastRejection());
-    report(std::to_string(m_jobCount + m_largeJobCount) + " jobs, " + std::to_string(m_checker.runCount)
-        + " runs, " + std::to_string(m_configChecker.newestVersion()) + " configurations, "
-        + std::to_string(m_faultCount) + " faults, " + std::to_string(m_checker.violations.size())
-        + " violations");
+    report(std::to_string(m_jobCount + m_largeJobCount + m_leftJobCount) + " jobs, "
+        + std::to_string(m_checker.runCount) + " runs, " + std::to_string(m_configChecker.newestVersion())
+        + " configurations, " + std::to_string(m_faultCount) + " faults, "
+        + std::to_string(m_checker.violations.size()) + " violations");
     return m_checker.violations.empty();
 }
 
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -64,6 +64,8 @@
     void silenceConnections();
     /// Submits a scheduled job with more runs or more tasks than fit into a row of the table.
     void submitLargeJob();
+    /// Submits a job whose caller leaves if it gets no answer soon, and cancels the job at any node.
+    void submitAndLeave();
     /// Lets a VM restart or changes its capacity.
     void disturbVm();
     void restartVm(const std::string& machine);
@@ -116,6 +118,11 @@
     {
         return static_cast<int>(m_limitRandom() % static_cast<std::uint64_t>(limit));
     }
+    /// From a generator of its own for callers that leave.
+    int randomLeavingBelow(int limit)
+    {
+        return static_cast<int>(m_leavingRandom() % static_cast<std::uint64_t>(limit));
+    }
     int randomBelow(int limit) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(limit)); }
     Node& randomNode()
     {
@@ -131,6 +138,7 @@
     std::mt19937_64 m_lateRandom;
     std::mt19937_64 m_takeoverRandom;
     std::mt19937_64 m_limitRandom;
+    std::mt19937_64 m_leavingRandom;
     SoakOptions m_options;
     std::string m_folder;
     std::chrono::steady_clock::time_point m_startTime = std::chrono::steady_clock::now();
@@ -149,6 +157,7 @@
     int m_jobCount = 0;
     int m_longJobCount = 0;
     int m_largeJobCount = 0;
+    int m_leftJobCount = 0;
     int m_faultCount = 0;
 };
 
