--- a/src/include/damaskworks/caller_service.h
+++ b/src/include/damaskworks/caller_service.h
@@ -36,9 +36,9 @@
     std::size_t maxRowBytes = defaultMaxRowBytes; ///< largest value of a row of the table
     milliseconds keyRevocationTime { 0 }; ///< see NodeSettings
     AdmissionControl* admission = nullptr; ///< decides about submissions; nullptr: all are accepted
-    /// Shortest time for which a job that was cancelled before it was accepted stays cancelled, for requests
-    /// that submit it again.
-    milliseconds cancelledJobRetention { 60'000 };
+    /// Time for which a job that was cancelled before it was accepted stays cancelled at least, for requests
+    /// that submit it again; not under 10 s.
+    milliseconds cancelledJobRetention { 10'000 };
 };
 
 /// Serves callers on any node. A job is accepted once its row is committed, whichever node will run it.
@@ -65,6 +65,7 @@
     void submit(const CallPointer& call);
     /// Replies to a submission whose job exists already, was cancelled, or names an epoch that is over.
     void resolveConflict(const CallPointer& call);
+    /// The same, if the table has no such job.
     void resolveAbsentJob(const CallPointer& call);
     /// Submits the job again under the present epoch of its part.
     void renewEpoch(const CallPointer& call);
@@ -80,8 +81,9 @@
     void cancel(const CallPointer& call);
     /// Keeps a job that is not accepted from being stored by any submission under way.
     void commitFence(const CallPointer& call);
+    /// Cancels the job if it has been accepted meanwhile, else tries again.
     void onFenceConflict(const CallPointer& call);
-    /// Removes fences that are no longer needed, if there are many.
+    /// Adds the removal of expired fences to \p transaction, if there are enough of them in its part.
     void removeExpiredFences(TableTransaction& transaction);
     void commitCancellation(const CallPointer& call);
     /// Calls \p operation again after a backoff.
@@ -100,10 +102,8 @@
     CallerKeys m_keys; ///< of m_config
     bool m_directoryLoaded = false;
     std::size_t m_activeRequests = 0;
-    // Fences up to m_expiredVersion have been there for the retention, and those up to m_agingVersion since
-    // m_agingSince.
-    Version m_expiredVersion = 0;
-    Version m_agingVersion = 0;
+    Version m_expiredVersion = 0; ///< fences up to this version have been there for the retention
+    Version m_agingVersion = 0; ///< fences up to this version were there at m_agingSince
     TimePoint m_agingSince {};
 };
 
--- a/src/include/damaskworks/job_directory.h
+++ b/src/include/damaskworks/job_directory.h
@@ -55,11 +55,14 @@
     std::string organisation; ///< see JobSpec
     JobWork work;
     Version version = 0; ///< of the job's row
-    bool cancelled = false;
+    bool cancelled = false; ///< a caller cancelled it after it was accepted
+    bool isFenced = false; ///< an earlier build has stored it in spite of its fence, see CancelFences
     bool hasStateRow = false; ///< the holder of its pool has recorded a state
     JobState state = JobState::Queued;
 
     bool isAccepted() const { return !encodedJob.empty(); }
+    /// Whether its tasks must not run.
+    bool isCancelled() const { return cancelled || isFenced; }
     /// State to show to callers: a cancelled job that has not ended shows as cancelled.
     JobState visibleState() const;
 };
@@ -88,6 +91,7 @@
     std::set<std::string> poolsWithUnfinishedJobs() const;
 
 private:
+    /// Applies a fence or an epoch, and cancels the fence's job if there is one.
     void applyFence(const TableRow& row);
     void applyTo(JobRecord& record, const TableRow& row);
     /// Tells the workload what has happened to a job; \p before is its state until then, if it was accepted.
--- a/src/libfleet/caller_service.cpp
+++ b/src/libfleet/caller_service.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t minExpiredFences = 24;
 /// Each removal takes three entries of a transaction.
 constexpr std::size_t maxRemovedFences = 30;
+/// Far longer than a caller repeats a request.
+constexpr milliseconds minCancelledJobRetention { 10'000 };
 
 std::string errorBody(std::string_view text) { return "{\"error\":\"" + std::string(text) + "\"}"; }
 
@@ -57,6 +59,7 @@
 CallerService::CallerService(CallerContext context)
     : m_context(context)
 {
+    m_context.cancelledJobRetention = std::max(m_context.cancelledJobRetention, minCancelledJobRetention);
 }
 
 void CallerService::setConfig(std::shared_ptr<const FleetConfig> config, CallerKeys keys)
@@ -443,7 +446,7 @@
     const std::string table(jobTable);
     const auto ownKey = transaction.writes.front().key;
     for (const auto& fence : expired) {
-        // Earlier builds store jobs in spite of their fences, which then keep the jobs cancelled.
+        // The fence of a job that an earlier build has stored keeps it cancelled.
         const std::string job(parseCancelFenceKey(fence.key).job);
         if (fence.key == ownKey || m_context.directory.find(job))
             continue;
--- a/src/libfleet/job_directory.cpp
+++ b/src/libfleet/job_directory.cpp
@@ -30,7 +30,7 @@
 
 JobState JobRecord::visibleState() const
 {
-    if (cancelled && state != JobState::Completed && state != JobState::Failed)
+    if (isCancelled() && state != JobState::Completed && state != JobState::Failed)
         return JobState::Cancelled;
     return state;
 }
@@ -74,9 +74,7 @@
         record.organisation = job->organisation;
         record.work = workOf(*job);
         record.version = row.version;
-        // Earlier builds store a job in spite of its fence.
-        record.cancelled = record.cancelled
-            || m_fences.contains(row.part, rows::cancelFenceKey(job->id, job->organisation));
+        record.isFenced = m_fences.contains(row.part, rows::cancelFenceKey(job->id, job->organisation));
         return;
     }
     case 'c':
@@ -94,18 +92,20 @@
 void JobDirectory::applyFence(const TableRow& row)
 {
     m_fences.apply(row);
-    const auto fenced = parseCancelFenceKey(row.key);
-    const auto found = m_records.find(std::string(fenced.job));
-    const bool isStored = !row.deleted && found != m_records.end() && found->second.isAccepted()
-        && found->second.organisation == fenced.organisation
-        && rows::jobPart(found->second.queue, fenced.job) == row.part;
-    if (!isStored || found->second.cancelled)
+    const auto fence = parseCancelFenceKey(row.key);
+    const auto found = m_records.find(std::string(fence.job));
+    if (found == m_records.end())
         return;
-    updateCounts(found->second, -1);
-    found->second.cancelled = true;
-    updateCounts(found->second, 1);
+    auto& record = found->second;
+    const bool isOfItsJob = record.isAccepted() && record.organisation == fence.organisation
+        && rows::jobPart(record.queue, fence.job) == row.part;
+    if (!isOfItsJob)
+        return;
+    updateCounts(record, -1);
+    record.isFenced = !row.deleted;
+    updateCounts(record, 1);
     if (m_listener)
-        m_listener(found->first, found->second);
+        m_listener(found->first, record);
 }
 
 void JobDirectory::apply(const TableRow& row)
--- a/src/libfleet/pool_holder.cpp
+++ b/src/libfleet/pool_holder.cpp
@@ -192,7 +192,7 @@
             recordArrival(m_state, *job, m_context.clock.now());
         addRecordedJob(std::move(*job), record);
     }
-    if (record.cancelled)
+    if (record.isCancelled())
         cancelJob(m_state, id);
     scheduleReconcile(reconcileDelay);
 }
