Ignore registrations that can't be of the machine's VM

Cause: MachineCoordinator::applyVm() took any registration that names a machine for its new VM, so the task ended. Evidence: entryOfAnotherWriterDoesNotEndAMaintenance fails before, for an unknown pool and for the pool of another machine. Ruled out: a limit counted wrongly; without the entry the maintenances go one by one. Change: canBeVmOfItsMachine(): the pool exists, and is the one in which an accepted task leaves the machine. Why it works: what the coordinator waits for is the VM of that pool; another pool's can't be it.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -154,6 +154,10 @@
 std::vector<MachineTask> planMoves(const FleetState& state, const FleetLimits& limits, TimePoint now);
 /// Whether the machine is evacuated, so that the coordinator may send the command for the task.
 bool maySendCommand(const FleetState& state, const MachineTask& task);
+/// Whether the registration can be that of its machine's VM: its pool exists, and is the one in which a
+/// machine task that the platform has accepted leaves the machine. Others write entries into the registry,
+/// too.
+bool canBeVmOfItsMachine(const FleetState& state, const VmRegistration& vm);
 /// Whether the task is finished: the machine is up in the right pool and runs a new VM, or is in a standby
 /// pool, whose VMs are off.
 bool hasMachineReturned(const FleetState& state, const MachineTask& task);
--- a/src/include/damaskworks/machine_coordinator.h
+++ b/src/include/damaskworks/machine_coordinator.h
@@ -120,6 +120,7 @@
     std::function<void()> m_onEnd;
     FleetState m_state;
     std::set<std::string> m_unregisteredVms; ///< VMs whose registration has ended
+    std::set<std::string> m_ignoredVms; ///< registered, but not the VMs of the machines that they name
     FleetLimits m_limits;
     PoolLedger m_ledger;
     LedgerLimits m_ledgerLimits;
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -111,6 +111,13 @@
     m_unregisteredVms.erase(vm.id);
     if (!m_begun || vm.machine.empty())
         return;
+    if (!canBeVmOfItsMachine(m_state, vm)) {
+        // Such an entry is written again and again, so only its first one is logged.
+        if (m_ignoredVms.insert(vm.id).second)
+            logEvent(LogLevel::Warning, "vm_of_machine_ignored",
+                { { "vm", vm.id }, { "machine", vm.machine }, { "pool", vm.pool } });
+        return;
+    }
     auto& machine = m_state.machines[vm.machine];
     machine = { vm.machine, vm.pool, vm.draining ? MachineState::Down : MachineState::Up, vm.id };
 }
@@ -118,6 +125,7 @@
 void MachineCoordinator::removeVm(const VmRegistration& vm)
 {
     m_unregisteredVms.insert(vm.id);
+    m_ignoredVms.erase(vm.id);
     const auto found = m_state.machines.find(vm.machine);
     if (found != m_state.machines.end() && found->second.vm == vm.id
         && found->second.state == MachineState::Up)
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -250,6 +250,50 @@
     BOOST_TEST(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
 }
 
+// An entry of another writer that named a machine in maintenance ended its task, and the next maintenance
+// began (review/10).
+BOOST_FIXTURE_TEST_CASE(entryOfAnotherWriterDoesNotEndAMaintenance, CoordinatorFixture)
+{
+    for (const char* pool : { "a", "b" }) {
+        config.pools[pool] = { pool, false, false };
+        for (const char* number : { "1", "2", "3", "4", "5", "6" }) {
+            const auto id = std::string(pool) + number;
+            machines.machines[id] = { id, pool, MachineState::Up, "vm-" + id };
+        }
+    }
+    machines.takesTime = true;
+    wave.machines = { "a1", "a2" };
+    begin();
+    PoolLoad load; // shows both machines as empty for this coordinator's first tasks
+    const auto term = std::to_string(coordinator->acquiredVersion());
+    load.empty = { { "a1", term + ".1" }, { "a2", term + ".2" } };
+    fleetRows.apply({ rows::poolPart("a"), std::string(loadKey), encodeLoad(load), 1 });
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    const auto inMaintenance = *machines.commanded.begin();
+    const int listsBefore = machines.lists;
+    // An unknown pool, and that of another machine.
+    for (const char* pool : { "retired", "b" }) {
+        VmRegistration vm;
+        vm.id = std::string("vm-of-") + pool;
+        vm.machine = inMaintenance;
+        vm.pool = pool;
+        loop.runUntil([&] { return machines.lists > listsBefore; }, 20s); // the command's response has come
+        coordinator->applyVm(vm);
+        coordinator->reconcile();
+        const int lists = machines.lists;
+        BOOST_REQUIRE(loop.runUntil([&] { return machines.lists > lists + 1; }, 20s));
+        BOOST_TEST(machines.maintenanceCommands == 1, "pool " << pool);
+    }
+    VmRegistration vm;
+    vm.id = "vm-new";
+    vm.machine = inMaintenance;
+    vm.pool = "a";
+    machines.machines[inMaintenance].state = MachineState::Up;
+    machines.machines[inMaintenance].vm = vm.id;
+    coordinator->applyVm(vm);
+    BOOST_TEST(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
+}
+
 /// Of two machines in a wave with limit 1, the first has crashed after an unanswered command.
 struct LateCommandFixture : CoordinatorFixture {
     LateCommandFixture()
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -270,6 +270,20 @@
     return empty != load->second.empty.end() && empty->second == task.id;
 }
 
+bool canBeVmOfItsMachine(const FleetState& state, const VmRegistration& vm)
+{
+    if (!state.config.pools.contains(vm.pool))
+        return false;
+    const auto task = state.tasks.find(vm.machine);
+    if (task == state.tasks.end() || task->second.state != MachineTaskState::Ordered)
+        return true;
+    if (task->second.action == MachineAction::Move)
+        return vm.pool == task->second.toPool;
+    // After a takeover the machine's pool isn't known until the first list.
+    const auto machine = state.machines.find(vm.machine);
+    return machine == state.machines.end() || machine->second.pool.empty() || machine->second.pool == vm.pool;
+}
+
 bool hasMachineReturned(const FleetState& state, const MachineTask& task)
 {
     if (task.state != MachineTaskState::Ordered)
