--- a/src/libfleet/job_record_test.cpp
+++ b/src/libfleet/job_record_test.cpp
@@ -102,9 +102,9 @@
             return;
         if (below(3) == 0) {
             // One draw a statement: the order in which arguments are evaluated differs between machines.
-            const auto length = static_cast<std::size_t>(1 + below(60));
-            const auto letter = static_cast<char>('a' + below(26));
-            task->checkpoint = std::string(length, letter);
+            const int length = 1 + below(60);
+            const int letter = 'a' + below(26);
+            task->checkpoint = std::string(static_cast<std::size_t>(length), static_cast<char>(letter));
             m_checkpoints[id].insert(task->checkpoint);
             job().dirty = true;
             return;
