--- a/review/11/deployment.cpp
+++ b/review/11/deployment.cpp
@@ -28,8 +28,9 @@
 
 json encodeStep(const Step& step)
 {
-    json out = { { "count", step.count }, { "cpu", step.cpu }, { "mem_mb", step.memoryMb },
-        { "estimate_ms", step.estimate.count() } };
+    json out = { { "count", step.count }, { "cpu", step.cpu }, { "mem_mb", step.memoryMb } };
+    if (step.estimate.count() > 0)
+        out["estimate_ms"] = step.estimate.count();
     if (!step.after.empty())
         out["after"] = step.after;
     if (step.isGang)
