--- a/review/11/deployment.cpp
+++ b/review/11/deployment.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds registrationTimeout { 4500 }; ///< three liveness report intervals
 constexpr milliseconds callTimeout { 3000 };
 constexpr milliseconds retryDelay { 400 };
+constexpr milliseconds decideTime { 50 };
+constexpr milliseconds decideTimePerWorker { 10 };
+constexpr milliseconds ticketValidity { 3000 };
 constexpr milliseconds cancelBound { 3000 }; ///< cancel_ms
 constexpr int maxSubmissions = 5; ///< the first and four retries
 constexpr std::uint16_t callerPort = 8624;
@@ -63,8 +66,11 @@
     , m_client(m_loop.base(), {})
     , m_cloud(
           m_loop.base(), {}, [this](const std::shared_ptr<HttpExchange>& exchange) { handleCloud(exchange); })
+    , m_advice(m_loop.base(), {},
+          [this](const std::shared_ptr<HttpExchange>& exchange) { handleAdvice(exchange); })
 {
     signal(SIGPIPE, SIG_IGN);
+    m_adviceAddress = { "127.0.0.1", m_advice.listen({ "127.0.0.1", 0 }).value_or(0) };
     std::filesystem::create_directories(m_folder);
     m_table.faults.delay = storeLatency;
     m_cloudAddress = { "127.0.0.1", m_cloud.listen({ "127.0.0.1", 0 }).value_or(0) };
@@ -112,7 +118,8 @@
         << "\"\nzone = \"east\"\nregion = \"east\"\nport_range = [7060,7075]\nseeds = []\n"
         << "bootstrap = true\nloss_counts = false\ndiscovery = \"platform\"\nentry = \"vip\"\n"
         << "heartbeat_ms = 1500\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\","
-        << "\"platform\",\"advice\",\"upkeep\",\"sharing\"]\norders = \"rpc\"\n[zones]\neast = \"east\"\n"
+        << "\"platform\",\"advice\",\"upkeep\",\"sharing\"]\norders = \"rpc\"\n"
+        << "advice = \"" << http::toString(m_adviceAddress) << "\"\n[zones]\neast = \"east\"\n"
         << "[listen]\nfront = \"" << node.ip << ":" << callerPort << "\"\nready = \"" << node.ip << ":"
         << readyPort << "\"\n[limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\n"
         << "link_mbps = 1000.0\ndisk_mb = 0\n[fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n"
@@ -196,11 +203,15 @@
 void Deployment::configure(const std::vector<Queue>& queues, const std::set<std::string>& services)
 {
     json routes = json::array();
-    for (const auto& queue : queues)
+    for (const auto& queue : queues) {
         routes.push_back({ { "name", queue.name }, { "host", queue.name + ".test" },
             { "prefix", "/" + queue.name + "/" }, { "service", queue.service },
             { "priority", queue.priority }, { "max_attempts", queue.maxAttempts }, { "stretch", 1.6 },
             { "target_latency_ms", 600 }, { "timeout_ms", 3000 } });
+        if (queue.hasAdvice)
+            routes.back()["advice"] = { { "decide_ms", decideTime.count() },
+                { "interval_ms", decideTimePerWorker.count() }, { "valid_ms", ticketValidity.count() } };
+    }
     json entries = json::array();
     for (const auto& service : services)
         entries.push_back({ { "name", service }, { "enforces_capacity", false } });
@@ -463,6 +474,41 @@
     reply(exchange, 200, { { "machines", list }, { "next_token", "" } });
 }
 
+/// The policy allows all minions.
+void Deployment::handleAdvice(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto body = json::parse(exchange->request().body, nullptr, false);
+    const auto step = body.value("step", "");
+    const auto workers = body.value("workers", std::vector<std::string> {});
+    const auto now = std::chrono::steady_clock::now();
+    m_adviceFreeAt
+        = std::max(m_adviceFreeAt, now) + decideTime + decideTimePerWorker * static_cast<int>(workers.size());
+    m_calls.add(
+        std::chrono::duration_cast<milliseconds>(m_adviceFreeAt - now), [this, exchange, step, workers] {
+            json allowed = json::array();
+            for (const auto& [name, machine] : m_machines) {
+                const auto& id = machine.spec.id;
+                if (!machine.worker || std::find(workers.begin(), workers.end(), id) == workers.end())
+                    continue;
+                const auto ticket = step + "/" + id + "/" + std::to_string(machine.worker->bornMs());
+                m_tickets[ticket] = std::chrono::steady_clock::now() + ticketValidity;
+                allowed.push_back({ id, ticket });
+            }
+            note("advice on " + step + " for " + std::to_string(workers.size()) + " minions");
+            reply(exchange, 200, { { "allowed", allowed }, { "valid_ms", ticketValidity.count() } });
+        });
+}
+
+bool Deployment::hasValidTicket(const Worker& worker, const TaskId& task, const std::string& ticket)
+{
+    if (!jobs.at(task.job).queue.hasAdvice)
+        return true;
+    const auto expected = fleet::toString(fleet::StepId { task.job, task.occurrence, task.step }) + "/"
+        + worker.spec().id + "/" + std::to_string(worker.bornMs());
+    const auto found = m_tickets.find(ticket);
+    return ticket == expected && found != m_tickets.end() && std::chrono::steady_clock::now() < found->second;
+}
+
 void Deployment::handleCommand(const std::shared_ptr<HttpExchange>& exchange)
 {
     const auto& request = exchange->request();
--- a/review/11/deployment.h
+++ b/review/11/deployment.h
@@ -19,6 +19,7 @@
     std::string service;
     int maxAttempts = 3;
     int priority = 0;
+    bool hasAdvice = false;
 };
 
 /// A work unit as the minions saw it.
@@ -107,6 +108,7 @@
     void onRejected(
         const WorkerSpec& worker, const TaskId& task, std::uint32_t run, const std::string& reason) override;
     bool failsAtStart(const WorkerSpec& worker, const TaskId& task) override;
+    bool hasValidTicket(const Worker& worker, const TaskId& task, const std::string& ticket) override;
     std::vector<std::pair<Worker*, TaskId>> gangMembers(const TaskId& task, std::uint32_t run) override;
 
 private:
@@ -129,6 +131,7 @@
     void takeDown(Machine& machine, const std::string& state, milliseconds downtime, bool keepsId);
     void handleCloud(const std::shared_ptr<HttpExchange>& exchange);
     void handleCommand(const std::shared_ptr<HttpExchange>& exchange);
+    void handleAdvice(const std::shared_ptr<HttpExchange>& exchange);
     void writeSettings(const Node& node) const;
     HttpRequest request(const std::string& method, const JobRecord& job, const std::string& id) const;
     void sendSubmission(const std::string& id, const std::string& body, int attempt);
@@ -146,6 +149,10 @@
     HttpClient m_client;
     HttpServer m_cloud;
     Address m_cloudAddress;
+    HttpServer m_advice;
+    Address m_adviceAddress;
+    SteadyTime m_adviceFreeAt; ///< when the service has handled its calls, one after the other
+    std::map<std::string, SteadyTime> m_tickets; ///< end of their validity
     std::map<std::string, Machine> m_machines;
     std::vector<Node> m_nodes;
     std::int64_t m_configVersion = 0;
--- a/review/11/worker.cpp
+++ b/review/11/worker.cpp
@@ -166,6 +166,8 @@
         reason = "late";
     else if (number <= m_highestEnded[*task] || running != m_runs.end())
         reason = "old";
+    else if (!m_host.hasValidTicket(*this, *task, body.value("ticket", "")))
+        reason = "ticket";
     if (!reason.empty()) {
         status = 409;
         m_host.onRejected(m_spec, *task, number, reason);
--- a/review/11/worker.h
+++ b/review/11/worker.h
@@ -52,6 +52,8 @@
     std::int64_t memoryMb = 131'072;
 };
 
+class Worker;
+
 /// What workers share: the jobs' steps, and an observer of all runs.
 class WorkerHost {
 public:
@@ -70,9 +72,10 @@
         = 0;
     /// Whether a run that starts now fails at once.
     virtual bool failsAtStart(const WorkerSpec& worker, const TaskId& task) = 0;
+    /// Whether the work unit needs no ticket, or this is a valid one.
+    virtual bool hasValidTicket(const Worker& worker, const TaskId& task, const std::string& ticket) = 0;
     /// All members of the gang that run with this number, on all workers.
-    virtual std::vector<std::pair<class Worker*, TaskId>> gangMembers(const TaskId& task, std::uint32_t run)
-        = 0;
+    virtual std::vector<std::pair<Worker*, TaskId>> gangMembers(const TaskId& task, std::uint32_t run) = 0;
 };
 
 /// One life of a machine's minion. Its destruction is a crash.
