Review: let the linter read the sources of the cases

Cause: the linter has no compile command for review/, so it found no header by a path from the root; and it took a type's name for a variable.

Done: the includes are relative, as in the tests.

--- a/review/11/deployment.h
+++ b/review/11/deployment.h
@@ -5,7 +5,7 @@
 
 #include "worker.h"
 
-#include "testsuite/harness/process.h"
+#include "../../testsuite/harness/process.h"
 
 #include <fstream>
 #include <random>
--- a/review/11/worker.cpp
+++ b/review/11/worker.cpp
@@ -240,8 +240,9 @@
     if (found == m_runs.end())
         return;
     const auto* step = m_host.findStep(id);
-    const auto members = step && step->isGang && how != "alone" ? m_host.gangMembers(id, found->second.number)
-                                                                : std::vector<std::pair<Worker*, TaskId>> {};
+    std::vector<std::pair<Worker*, TaskId>> members;
+    if (step && step->isGang && how != "alone")
+        members = m_host.gangMembers(id, found->second.number);
     end(id, how);
     for (const auto& [worker, member] : members)
         if (member != id)
--- a/review/11/worker.h
+++ b/review/11/worker.h
@@ -2,8 +2,8 @@
 /// Stand-in for a minion: it runs work units under a lease, as the pages say, and knows gangs.
 #pragma once
 
-#include "platform/standin/delayed_calls.h"
-#include "platform/standin/table.h"
+#include "../../platform/standin/delayed_calls.h"
+#include "../../platform/standin/table.h"
 
 #include <damaskworks/http.h>
 #include <damaskworks/job.h>
--- a/review/13/case3.cpp
+++ b/review/13/case3.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Case 13: the members of a gang that lasts end as done, and are not started again.
-#include "deployment.h"
+#include "../11/deployment.h"
 
 using namespace damask;
 using namespace damask::review;
