--- a/review/11/case3.cpp
+++ b/review/11/case3.cpp
@@ -20,6 +20,8 @@
 /// The rule: 3 s; the rest allows for a late timer.
 constexpr milliseconds idleBound { 3000 + 300 };
 constexpr milliseconds observationTime { 60'000 };
+constexpr int stateRequests = 10;
+constexpr milliseconds retryPause { 300 };
 const std::string firstJob = "5c0e7a21d94b36f8";
 const std::string secondJob = "5c0e7a21d94b36f9";
 
@@ -79,12 +81,16 @@
             idleSince = std::max(idleSince, now);
         isLost = now - idleSince > idleBound;
     }
-    const auto row = deployment.state(secondJob);
+    for (int i = 0; i < stateRequests && deployment.state(secondJob).starts_with("503"); ++i)
+        deployment.run(retryPause);
+    const int idle = deployment.countIdle(other.service);
+    if (isLost && idle == 0)
+        return Verdict::NotRun;
     if (isLost)
-        deployment.violate("LOST: " + secondJob
-            + " has had nothing running for 3 s, beside idle minions and with nothing of its tenant running; "
-              "it is "
-            + row);
+        deployment.violate("LOST: " + secondJob + " has had nothing running for 3 s, beside "
+            + std::to_string(idle)
+            + " idle minions of its service and with nothing of its tenant running; it is "
+            + deployment.jobs.at(secondJob).state);
     return deployment.violations.empty() ? Verdict::Held : Verdict::Broken;
 }
 
@@ -92,7 +98,12 @@
 
 int main(int count, char** arguments)
 {
-    Deployment deployment(
-        { .nodes = 4, .record = count > 1 ? arguments[1] : "record.txt", .tenant = "member-1", .cap = cap });
+    Deployment deployment({ .nodes = 4,
+        .maxLease = milliseconds(10'000),
+        .configApply = milliseconds(3000),
+        .moreContracts = R"(,"health","tenants","quota","pressure")",
+        .record = count > 1 ? arguments[1] : "record.txt",
+        .tenant = "member-1",
+        .cap = cap });
     return static_cast<int>(runCase(deployment));
 }
--- a/review/11/deployment.cpp
+++ b/review/11/deployment.cpp
@@ -122,13 +122,15 @@
         << "\"\nzone = \"east\"\nregion = \"east\"\nport_range = [7060,7075]\nseeds = []\n"
         << "bootstrap = true\nloss_counts = false\ndiscovery = \"platform\"\nentry = \"vip\"\n"
         << "heartbeat_ms = 1500\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\","
-        << "\"platform\",\"advice\",\"upkeep\",\"sharing\"]\norders = \"rpc\"\n"
+        << "\"platform\",\"advice\",\"upkeep\",\"sharing\"" << m_options.moreContracts
+        << "]\norders = \"rpc\"\n"
         << "advice = \"" << http::toString(m_adviceAddress) << "\"\n[zones]\neast = \"east\"\n"
         << "[listen]\nfront = \"" << node.ip << ":" << callerPort << "\"\nready = \"" << node.ip << ":"
         << readyPort << "\"\n[limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\n"
         << "link_mbps = 1000.0\ndisk_mb = 0\n[fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n"
         << "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4\n"
-        << "drain_ms = 2000\ngrace_s = 6\nloss_slack_ms = 200\nconfig_apply_ms = 2000\n"
+        << "drain_ms = 2000\ngrace_s = 6\nloss_slack_ms = 200\nconfig_apply_ms = "
+        << m_options.configApply.count() << "\n"
         << "rollback_slack_ms = 250\nmax_stretch_ms = 5000\nrecovery_s = 12\nhold_max_ms = "
         << m_options.maxLease.count() << "\nstop_ms = 200\ngang_wait_ms = 3000\ncancel_ms = 3000\n"
         << "visible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\nfar_x = 2\n"
@@ -163,6 +165,14 @@
     return found == m_machines.end() ? nullptr : found->second.worker.get();
 }
 
+int Deployment::countIdle(const std::string& service) const
+{
+    return static_cast<int>(std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& entry) {
+        const auto& machine = entry.second;
+        return machine.worker && machine.spec.pool == service && machine.worker->runCount() == 0;
+    }));
+}
+
 std::string Deployment::machineOf(const TaskId& task)
 {
     for (const auto& [name, machine] : m_machines) {
@@ -291,11 +301,13 @@
 
 HttpRequest Deployment::request(const std::string& method, const JobRecord& job, const std::string& id) const
 {
-    return { method, "/" + job.queue.name + "/" + id, "",
+    HttpRequest out { method, "/" + job.queue.name + "/" + id, "",
         { { "Host", job.queue.name + ".test" }, { "Content-Type", "application/json" },
-            { "Damaskworks-Credential", m_options.tenant },
             { "Damaskworks-Deadline-Ms", std::to_string(callTimeout.count()) } },
         "" };
+    if (!m_options.tenant.empty())
+        out.headers.emplace_back("Damaskworks-Credential", m_options.tenant);
+    return out;
 }
 
 std::size_t Deployment::anyNode()
--- a/review/11/deployment.h
+++ b/review/11/deployment.h
@@ -47,6 +47,8 @@
 struct Options {
     int nodes = 4;
     milliseconds maxLease { 6000 }; ///< hold_max_ms
+    milliseconds configApply { 2000 }; ///< config_apply_ms
+    std::string moreContracts; ///< in the list of the settings, each after a comma
     std::string record; ///< path of record.txt
     std::string tenant; ///< of the consumers, and their key; empty: the config has no tenants
     std::int64_t cap = 0; ///< of the tenant, in thousandths of a core
@@ -73,6 +75,8 @@
     void configure(const std::vector<Queue>& queues, const std::set<std::string>& services);
     /// The minion on the machine; null if it is down.
     Worker* worker(const std::string& machine);
+    /// The minions of the service that run nothing.
+    int countIdle(const std::string& service) const;
     /// The machine whose minion runs the work unit; empty if none does.
     std::string machineOf(const TaskId& task);
     /// The minion crashes, and starts again after \p downtime, under its id or another one.
--- a/review/13/case3.cpp
+++ b/review/13/case3.cpp
@@ -52,8 +52,8 @@
     if (job.tasks.empty())
         return Verdict::NotRun;
     if (hasLostMember)
-        deployment.violate("LOST: a work unit that lasts has had no run for 9 s, with eight tenths of the "
-                           "service idle; its job is shown as "
+        deployment.violate("LOST: a work unit that lasts has had no run for 9 s, beside idle minions; "
+                           "its job is shown as "
             + job.state);
     return deployment.violations.empty() ? Verdict::Held : Verdict::Broken;
 }
