Log why earlier runs of a started task count as known, and how far ends are recorded and acknowledged

Change: task_start has known_by and listed_predecessor, task_end has number and boot, vm_reported has ended; new lines ends_recorded (one a commit) and ends_acknowledged (one a heartbeat that acknowledges more), and the event end_passed_over of task_run. No decision changes: becameReadySinceTakeover() returns the task that it found instead of whether there is one.

--- a/src/include/damaskworks/pool_holder.h
+++ b/src/include/damaskworks/pool_holder.h
@@ -154,6 +154,8 @@
     /// The lease was renewed, perhaps with a raised fencing token.
     void onRenewed();
     void publishLoad(TimePoint now);
+    /// Logs which ends of runs the batch has made durable.
+    void logRecordedEnds(const LedgerBatch& batch) const;
     void logLoad(TimePoint now);
     /// Logs now and then why long-running tasks wait.
     void logWaitingTasks(TimePoint now);
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -134,6 +134,7 @@
     bool hasRecord = false; ///< has a durable record; its tasks are not started before
     bool hasSpec = false; ///< spec.spec is loaded
     bool hasTicketRejection = false; ///< a VM has rejected a start for want of a valid ticket
+    bool hadEarlierHolder = false; ///< was accepted before this holder acquired the pool
     bool isRecovered = false; ///< an earlier holder may have started its tasks
     bool cancelled = false;
     bool dirty = false; ///< differs from its durable record
@@ -324,9 +325,10 @@
     Copied, ///< planned as a second run of its task
     CopyEndedFirst, ///< the run was a second one; the first is stopped
     CopySuperseded, ///< the first run has ended; the second is stopped
+    EndPassedOver, ///< ended as done, but a later run has the task
 };
 
-inline constexpr NameTable<RunEventKind, 15> runEventKindNames { {
+inline constexpr NameTable<RunEventKind, 16> runEventKindNames { {
     { RunEventKind::NotListed, "not_listed" },
     { RunEventKind::VmRestarted, "vm_restarted" },
     { RunEventKind::LeaseExpired, "lease_expired" },
@@ -342,6 +344,7 @@
     { RunEventKind::Copied, "copied" },
     { RunEventKind::CopyEndedFirst, "copy_ended_first" },
     { RunEventKind::CopySuperseded, "copy_superseded" },
+    { RunEventKind::EndPassedOver, "end_passed_over" },
 } };
 
 struct RunEvent {
@@ -412,10 +415,31 @@
     std::uint32_t run = 0;
 };
 
+/// Why no earlier holder can have another run of a task that is started, for the log.
+enum class StartBasis {
+    NewJob, ///< the job was accepted after this holder had acquired the pool
+    NoRecord, ///< the job had no record, which an earlier holder would have written first
+    AllVmsReported, ///< all VMs that an earlier holder may have used have reported or ended
+    LeasesExpired, ///< the leases that an earlier holder may have granted have expired
+    TaskListed, ///< a VM has listed a run of the task to this holder
+    PredecessorListed, ///< a VM has listed a run of a task that the step depends on
+};
+
+inline constexpr NameTable<StartBasis, 6> startBasisNames { {
+    { StartBasis::NewJob, "new_job" },
+    { StartBasis::NoRecord, "no_record" },
+    { StartBasis::AllVmsReported, "all_vms_reported" },
+    { StartBasis::LeasesExpired, "leases_expired" },
+    { StartBasis::TaskListed, "task_listed" },
+    { StartBasis::PredecessorListed, "predecessor_listed" },
+} };
+
 /// A command to start a run.
 struct StartAction {
     std::string vm;
     StartCommand command;
+    StartBasis basis = StartBasis::NewJob;
+    std::optional<TaskId> listedPredecessor; ///< with StartBasis::PredecessorListed
 };
 
 /// Run numbers of a recovered task start above this value, so that they exceed those of earlier holders.
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -123,6 +123,8 @@
             { "vm", start.vm }, { "fence", std::to_string(target.fence) },
             { "outcome", std::string(nameOf(commandOutcomeNames, outcome)) },
             { "held_back_ms", std::to_string(heldBack.count()) },
+            { "known_by", std::string(nameOf(startBasisNames, start.basis)) },
+            { "listed_predecessor", start.listedPredecessor ? toString(*start.listedPredecessor) : "" },
             { "vm_clock_ms", std::to_string(response.vmClock.count()) } });
     handleCommandOutcome(target, outcome, sentAt);
     checkVmClock(m_state, start.vm, response.vmClock, sentAt, now);
@@ -193,6 +195,10 @@
     const auto command = planHeartbeat(vm, m_state.limits, now);
     heartbeatState.isInFlight = true;
     heartbeatState.ackPendingSince = TimePoint {};
+    if (command.acknowledged > heartbeatState.lastAckSent)
+        logEvent(LogLevel::Info, "ends_acknowledged",
+            { { "vm", name }, { "boot", std::to_string(vm.bootTime) },
+                { "number", std::to_string(command.acknowledged) } });
     heartbeatState.lastAckSent = std::max(heartbeatState.lastAckSent, command.acknowledged);
     m_context.metrics.count("vm_holds_total{pool=\"" + m_state.pool + "\"}");
     const auto target = makeTarget(vm);
@@ -248,7 +254,8 @@
             { { "vm", name }, { "pool", m_state.pool }, { "boot", std::to_string(report->bootTime) },
                 { "vm_clock_ms", std::to_string(report->vmClock.count()) },
                 { "runs", std::to_string(vm.runs.size()) },
-                { "listed", std::to_string(report->running.size()) } });
+                { "listed", std::to_string(report->running.size()) },
+                { "ended", std::to_string(report->ended.size()) } });
     const bool isBack = vm.isUnresponsive;
     applyReport(m_state, name, *report, sentAt, now);
     if (isBack)
@@ -261,7 +268,8 @@
             continue;
         logEvent(LogLevel::Info, "task_end",
             { { "task", toString(end.task) }, { "run", std::to_string(end.run) }, { "vm", name },
-                { "kind", std::string(nameOf(endKindNames, end.kind)) } });
+                { "kind", std::string(nameOf(endKindNames, end.kind)) },
+                { "number", std::to_string(end.number) }, { "boot", std::to_string(vm.bootTime) } });
     }
     sendThrottleCommands(name, now);
     if (vm.applied > vm.acknowledged)
--- a/src/libfleet/pool_holder_log.cpp
+++ b/src/libfleet/pool_holder_log.cpp
@@ -72,6 +72,16 @@
     m_state.runEvents.clear();
 }
 
+void PoolHolder::logRecordedEnds(const LedgerBatch& batch) const
+{
+    if (batch.ends.empty())
+        return;
+    std::string ends;
+    for (const auto& [vm, durable] : batch.ends)
+        ends += (ends.empty() ? "" : ",") + vm + ":" + std::to_string(durable.lastNumber);
+    logEvent(LogLevel::Info, "ends_recorded", { { "pool", m_state.pool }, { "ends", ends } });
+}
+
 void PoolHolder::logLoad(TimePoint now)
 {
     if (now - m_loadLoggedAt < loadLogInterval)
--- a/src/libfleet/pool_holder_records.cpp
+++ b/src/libfleet/pool_holder_records.cpp
@@ -80,6 +80,7 @@
     noteWritten(m_rejectedRecords, batch.jobs);
     if (hasLoad(batch))
         noteWritten(m_rejectedRecords, { std::string(loadKey) });
+    logRecordedEnds(batch);
     acknowledgeEnds(m_state, batch, m_unacknowledgedEnds);
     for (const auto& id : batch.jobs) {
         const auto found = m_state.jobs.find(id);
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -439,6 +439,8 @@
         placeRemainingSuspects(state, blocks, now, limit, out);
     if (scope == PlanScope::Everything)
         placeCopies(state, now, limit, out);
+    for (auto& start : out)
+        setBasis(state, blocks, now, start);
     return out;
 }
 
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -139,6 +139,8 @@
         if (end.kind == EndKind::Done && isCopyable(step)) {
             finishTask(state, job, end.task, *task, milliseconds(0));
             completeIfDone(state, job);
+        } else if (end.kind == EndKind::Done) {
+            state.runEvents.push_back({ vm.entry.id, end.task, end.run, RunEventKind::EndPassedOver });
         }
         return;
     }
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -51,6 +51,7 @@
     job.spec = std::move(spec);
     job.hasSpec = job.spec.specBytes == 0;
     job.hasRecord = !progress.empty();
+    job.hadEarlierHolder = isRecovered;
     // Without a record no earlier holder has started any task.
     job.isRecovered = isRecovered && job.hasRecord;
     bool isReadable = progress.empty() || decodeProgress(job, progress);
--- a/src/libscheduler/waiting_steps.cpp
+++ b/src/libscheduler/waiting_steps.cpp
@@ -39,17 +39,28 @@
     return queue == state.queues.end() ? nullptr : &queue->second;
 }
 
-/// Whether a task that the step depends on has run since the takeover, so that no earlier holder has started
-/// the step. The end of one member of a gang may have been known earlier, while the others were still listed.
-bool becameReadySinceTakeover(const JobEntry& job, const OccurrenceState& occurrence, int step)
+/// A task of an occurrence.
+struct TaskPosition {
+    int step = 0;
+    int index = 0;
+};
+
+/// A task that the step depends on and that has run since the takeover, so that no earlier holder has started
+/// the step; nothing if there is none. The end of one member of a gang may have been known earlier, while the
+/// others were still listed.
+std::optional<TaskPosition> findListedPredecessor(
+    const JobEntry& job, const OccurrenceState& occurrence, int step)
 {
     for (int before : stepOf(job, step).after) {
         const auto& tasks = occurrence.steps[static_cast<std::size_t>(before)].tasks;
-        if (!stepOf(job, before).gang
-            && std::any_of(tasks.begin(), tasks.end(), [](const TaskState& task) { return task.wasListed; }))
-            return true;
+        if (stepOf(job, before).gang)
+            continue;
+        const auto listed
+            = std::find_if(tasks.begin(), tasks.end(), [](const TaskState& task) { return task.wasListed; });
+        if (listed != tasks.end())
+            return TaskPosition { before, static_cast<int>(listed - tasks.begin()) };
     }
-    return false;
+    return std::nullopt;
 }
 
 void openDueOccurrences(JobEntry& job, WallTime wallNow)
@@ -197,7 +208,26 @@
 bool mayHaveUnknownRuns(
     const JobEntry& job, const OccurrenceState& occurrence, int step, const StartBlocks& blocks)
 {
-    return job.isRecovered && !blocks.isRecoveryComplete && !becameReadySinceTakeover(job, occurrence, step);
+    return job.isRecovered && !blocks.isRecoveryComplete && !findListedPredecessor(job, occurrence, step);
+}
+
+void setBasis(const PoolState& state, const StartBlocks& blocks, TimePoint now, StartAction& start)
+{
+    const auto& id = start.command.task;
+    const auto& job = state.jobs.find(id.job)->second;
+    if (!job.isRecovered) {
+        start.basis = job.hadEarlierHolder ? StartBasis::NoRecord : StartBasis::NewJob;
+        return;
+    }
+    if (blocks.isRecoveryComplete) {
+        const bool isByTime = now >= state.recoveryDeadline && !state.haveAllVmsReported;
+        start.basis = isByTime ? StartBasis::LeasesExpired : StartBasis::AllVmsReported;
+        return;
+    }
+    const auto listed = findListedPredecessor(job, job.occurrences.at(id.occurrence), id.step);
+    start.basis = listed ? StartBasis::PredecessorListed : StartBasis::TaskListed;
+    if (listed)
+        start.listedPredecessor = TaskId { id.job, id.occurrence, listed->step, listed->index };
 }
 
 bool isWaiting(const TaskState& task, bool mayHaveUnknownRuns)
--- a/src/libscheduler/waiting_steps_pvt.h
+++ b/src/libscheduler/waiting_steps_pvt.h
@@ -19,6 +19,8 @@
 /// Whether an earlier holder may have started tasks of the step on a VM that has not reported.
 bool mayHaveUnknownRuns(
     const JobEntry& job, const OccurrenceState& occurrence, int step, const StartBlocks& blocks);
+/// Sets StartAction::basis and StartAction::listedPredecessor of a start planned at \p now.
+void setBasis(const PoolState& state, const StartBlocks& blocks, TimePoint now, StartAction& start);
 /// Whether the task waits for a VM and may be started. \p mayHaveUnknownRuns is that of its step.
 bool isWaiting(const TaskState& task, bool mayHaveUnknownRuns);
 /// Whether only the lack of room can keep a task of the step from a VM.
