One listed run of a predecessor no longer counts for its whole history

Cause: while VMs that an earlier holder used are silent, a new holder starts a step of a recovered job if a VM has listed a run of a task that the step depends on: an earlier holder then can't have had that task as done, and can't have started the step. That holds only if the listed run is the only one that the task has had. A copied task may have ended by its other run, and a task whose end was lost with its VM runs again for the next holder. In both cases an earlier holder heard the end, started the step at once and was lost before the record was durable; the step's run ends on a VM that is silent to the new holder, which starts it again and reads and acknowledges that end later. Class: evidence about one run is taken for evidence about all runs of the task. Gangs had been excepted, the other two cases not.

Ruled out: to wait for the record before a step is started. Each step of a chain would wait for a commit, and none would start while the table is away. To wait always: a single silent VM would hold back all steps for up to the longest lease.

Change: TaskState::wasUnfinished says that no earlier holder can have had the task as done. It is set if a VM lists the task's first run as running and the step has neither copies nor a gang, or if this holder starts the task of a step that became ready under it; so further steps of the chain need no wait, whatever they are. A step is started beside silent VMs only if a task before it is marked.

--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -93,9 +93,12 @@
     TimePoint waitsForTrialSince {}; ///< when a pass first found no VM for its trial; zero: it waits for none
     TimePoint waitsForRackSince {}; ///< when a pass first left it waiting for a rack; zero: none has
     std::optional<EarlierRun> earlierRun; ///< not yet known whether it ended with a crash of its VM
-    /// A VM has listed a run of the task as running to this holder, so no run of an earlier holder is
-    /// unknown.
+    /// A VM has listed a run of the task as running to this holder. No other run of an earlier holder is
+    /// unknown then, unless the step is copied.
     bool wasListed = false;
+    /// No earlier holder can have heard that the task is done: its only run was listed as running to this
+    /// holder, or this holder started it when no earlier one could have.
+    bool wasUnfinished = false;
 };
 
 /// Permission of the advice service to run a step on a VM.
@@ -422,7 +425,7 @@
     AllVmsReported, ///< all VMs that an earlier holder may have used have reported or ended
     LeasesExpired, ///< the leases that an earlier holder may have granted have expired
     TaskListed, ///< a VM has listed a run of the task to this holder
-    PredecessorListed, ///< a VM has listed a run of a task that the step depends on
+    PredecessorUnfinished, ///< a task that the step depends on has TaskState::wasUnfinished
 };
 
 inline constexpr NameTable<StartBasis, 6> startBasisNames { {
@@ -431,7 +434,7 @@
     { StartBasis::AllVmsReported, "all_vms_reported" },
     { StartBasis::LeasesExpired, "leases_expired" },
     { StartBasis::TaskListed, "task_listed" },
-    { StartBasis::PredecessorListed, "predecessor_listed" },
+    { StartBasis::PredecessorUnfinished, "predecessor_unfinished" },
 } };
 
 /// A command to start a run.
@@ -439,11 +442,13 @@
     std::string vm;
     StartCommand command;
     StartBasis basis = StartBasis::NewJob;
-    std::optional<TaskId> listedPredecessor; ///< with StartBasis::PredecessorListed
+    std::optional<TaskId> unfinishedPredecessor; ///< with StartBasis::PredecessorUnfinished
 };
 
 /// Run numbers of a recovered task start above this value, so that they exceed those of earlier holders.
 constexpr std::uint32_t runNumberBase(std::uint64_t term) { return static_cast<std::uint32_t>(term) * 1000; }
+/// Number of a task's first run.
+inline constexpr std::uint32_t firstRunNumber = 1;
 
 /// When the leases that an earlier holder may have granted before \p takeover have expired on the slowest
 /// clock. A VM that had restarted before the takeover can have the longest.
--- a/src/libfleet/pool_holder_calls.cpp
+++ b/src/libfleet/pool_holder_calls.cpp
@@ -124,7 +124,8 @@
             { "outcome", std::string(nameOf(commandOutcomeNames, outcome)) },
             { "held_back_ms", std::to_string(heldBack.count()) },
             { "known_by", std::string(nameOf(startBasisNames, start.basis)) },
-            { "listed_predecessor", start.listedPredecessor ? toString(*start.listedPredecessor) : "" },
+            { "unfinished_predecessor",
+                start.unfinishedPredecessor ? toString(*start.unfinishedPredecessor) : "" },
             { "vm_clock_ms", std::to_string(response.vmClock.count()) } });
     handleCommandOutcome(target, outcome, sentAt);
     checkVmClock(m_state, start.vm, response.vmClock, sentAt, now);
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -46,6 +46,8 @@
     placeRun(state, vm, id, task, run);
     if (job.firstStartAt == TimePoint {})
         job.firstStartAt = now;
+    if (job.isRecovered && isNewlyReady(job, job.occurrences.at(id.occurrence), id.step))
+        task.wasUnfinished = true;
     if (!job.hasRecord)
         job.dirty = true; // its record must be durable before the command is sent
     StartAction action { vm.entry.id, {} };
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -193,6 +193,18 @@
     run.reportedLoad = report.load;
 }
 
+/// Notes that a VM lists a run of the task as running. Returns whether that is the first time.
+bool noteListed(TaskState& task, const StepSpec& step, std::uint32_t run)
+{
+    if (std::exchange(task.wasListed, true))
+        return false;
+    // An earlier holder may have heard the end of another run, and have lost it before it was recorded: of
+    // the run before this one, if its VM was lost, of a copy, or of another member of a gang.
+    if (run == firstRunNumber && !isCopyable(step) && !step.gang)
+        task.wasUnfinished = true;
+    return true;
+}
+
 /// Handles a run that no task has: an earlier holder started it, or this holder released it although the VM
 /// runs it. Adopts it if its task has no run and no later one was started, else records it as an orphan run
 /// to be stopped.
@@ -220,7 +232,7 @@
     }
     placeRun(state, vm, report.task, *task, run);
     state.runEvents.push_back({ vm.entry.id, report.task, report.run, RunEventKind::Adopted });
-    task->wasListed = true;
+    noteListed(*task, stepOf(job->second, report.task.step), report.run);
     confirmRun(*runOn(*task, vm.entry.id), report, now);
     markJobRunning(state, job->second);
 }
@@ -236,7 +248,7 @@
         markJobRunning(state, job);
         run->vmBootTime = vm.bootTime;
         // The steps that depend on this one may be known not to run.
-        if (!std::exchange(task->wasListed, true))
+        if (noteListed(*task, stepOf(job, report.task.step), report.run))
             markChanged(state, job);
         if (task->crashes > 0)
             markChanged(state, job);
--- a/src/libscheduler/waiting_steps.cpp
+++ b/src/libscheduler/waiting_steps.cpp
@@ -45,20 +45,17 @@
     int index = 0;
 };
 
-/// A task that the step depends on and that has run since the takeover, so that no earlier holder has started
-/// the step; nothing if there is none. The end of one member of a gang may have been known earlier, while the
-/// others were still listed.
-std::optional<TaskPosition> findListedPredecessor(
+/// A task that the step depends on and that no earlier holder can have had as done, so that none has started
+/// the step; nothing if there is none.
+std::optional<TaskPosition> findUnfinishedPredecessor(
     const JobEntry& job, const OccurrenceState& occurrence, int step)
 {
     for (int before : stepOf(job, step).after) {
         const auto& tasks = occurrence.steps[static_cast<std::size_t>(before)].tasks;
-        if (stepOf(job, before).gang)
-            continue;
-        const auto listed
-            = std::find_if(tasks.begin(), tasks.end(), [](const TaskState& task) { return task.wasListed; });
-        if (listed != tasks.end())
-            return TaskPosition { before, static_cast<int>(listed - tasks.begin()) };
+        const auto task = std::find_if(
+            tasks.begin(), tasks.end(), [](const TaskState& candidate) { return candidate.wasUnfinished; });
+        if (task != tasks.end())
+            return TaskPosition { before, static_cast<int>(task - tasks.begin()) };
     }
     return std::nullopt;
 }
@@ -208,7 +205,12 @@
 bool mayHaveUnknownRuns(
     const JobEntry& job, const OccurrenceState& occurrence, int step, const StartBlocks& blocks)
 {
-    return job.isRecovered && !blocks.isRecoveryComplete && !findListedPredecessor(job, occurrence, step);
+    return job.isRecovered && !blocks.isRecoveryComplete && !isNewlyReady(job, occurrence, step);
+}
+
+bool isNewlyReady(const JobEntry& job, const OccurrenceState& occurrence, int step)
+{
+    return findUnfinishedPredecessor(job, occurrence, step).has_value();
 }
 
 void setBasis(const PoolState& state, const StartBlocks& blocks, TimePoint now, StartAction& start)
@@ -224,10 +226,10 @@
         start.basis = isByTime ? StartBasis::LeasesExpired : StartBasis::AllVmsReported;
         return;
     }
-    const auto listed = findListedPredecessor(job, job.occurrences.at(id.occurrence), id.step);
-    start.basis = listed ? StartBasis::PredecessorListed : StartBasis::TaskListed;
-    if (listed)
-        start.listedPredecessor = TaskId { id.job, id.occurrence, listed->step, listed->index };
+    const auto predecessor = findUnfinishedPredecessor(job, job.occurrences.at(id.occurrence), id.step);
+    start.basis = predecessor ? StartBasis::PredecessorUnfinished : StartBasis::TaskListed;
+    if (predecessor)
+        start.unfinishedPredecessor = TaskId { id.job, id.occurrence, predecessor->step, predecessor->index };
 }
 
 bool isWaiting(const TaskState& task, bool mayHaveUnknownRuns)
--- a/src/libscheduler/waiting_steps_pvt.h
+++ b/src/libscheduler/waiting_steps_pvt.h
@@ -19,7 +19,9 @@
 /// Whether an earlier holder may have started tasks of the step on a VM that has not reported.
 bool mayHaveUnknownRuns(
     const JobEntry& job, const OccurrenceState& occurrence, int step, const StartBlocks& blocks);
-/// Sets StartAction::basis and StartAction::listedPredecessor of a start planned at \p now.
+/// Whether no earlier holder can have had the step ready, so that none has started its tasks.
+bool isNewlyReady(const JobEntry& job, const OccurrenceState& occurrence, int step);
+/// Sets StartAction::basis and StartAction::unfinishedPredecessor of a start planned at \p now.
 void setBasis(const PoolState& state, const StartBlocks& blocks, TimePoint now, StartAction& start);
 /// Whether the task waits for a VM and may be started. \p mayHaveUnknownRuns is that of its step.
 bool isWaiting(const TaskState& task, bool mayHaveUnknownRuns);
