A VM that may not have listed all its ends is waited for after a takeover

Cause: a VM lists at most 500 ends in a report, and the others once these are acknowledged. A new holder took the first report of a VM as proof that it knew all runs there. The task whose end was the 501st was planned again. Nor did the recovery deadline bound this: the holder renews the lease of a VM that has reported, so the end counts however late it is listed.

Ruled out: that the end of the list is dropped by the holder (VmState::applied goes up to the last listed end only); that runs of the holder itself are released by a full report (releaseMissing() is skipped then).

Change: a VM whose first report is full is in PoolState::vmsWithUnlistedEnds until a report of it is not, also of a later boot, or until its lease has expired while it is silent, or it is removed. The recovery is not complete before, not even after the deadline. A VM with fewer ends, a full report after the recovery and one first received after the deadline (the leases have expired then) delay nothing.

Evidence: takeover_report_test. On the code before, taskWhoseEndIsBeyondAFullReportIsNotStartedAgain, unlistedEndsAreWaitedForBeyondTheRecoveryDeadline, vmThatHasListedAllItsEndsIsNotWaitedFor and unlistedEndsOfASilentVmAreWaitedForUntilItsLeaseHasExpired fail (10 checks, among them "starts().empty()" after a full report, and a start before the end of a lease); fullReportAfterTheRecoveryDelaysNothing passes before as well. All five pass with the change, as do scheduler_test and vm_restart_test.

No bound holds if a VM always has 500 ends or more that are not acknowledged.

--- a/src/include/damaskworks/pool_plan.h
+++ b/src/include/damaskworks/pool_plan.h
@@ -28,7 +28,7 @@
 void applyMachineList(PoolState& state, const std::vector<Machine>& machines);
 
 /// VMs on which runs of an earlier holder may be unknown: those of PoolState::platformVms that have not
-/// reported.
+/// reported all their ends.
 std::vector<std::string> findAwaitedVms(const PoolState& state);
 
 /// Whether every run that an earlier holder started is known or has ended, so that the tasks of recovered
--- a/src/include/damaskworks/pool_state.h
+++ b/src/include/damaskworks/pool_state.h
@@ -380,7 +380,11 @@
     /// All of platformVms before this one have reported or ended. Neither is undone while this holder has the
     /// pool.
     std::string firstAwaitedVm;
-    bool haveAllVmsReported = false; ///< all of platformVms have reported or ended
+    bool haveAllVmsReported = false; ///< all of platformVms have reported all their ends, or ended
+    /// VMs whose reports to this holder have all been full so far: there may be ends of an earlier holder's
+    /// runs that none has listed yet. The lease of such a VM is renewed, so recoveryDeadline doesn't show
+    /// that they don't count.
+    std::set<std::string, std::less<>> vmsWithUnlistedEnds;
     /// Removed VMs, which may return, with the time until which they may carry out earlier commands.
     std::map<std::string, TimePoint, std::less<>> removedVms;
     TimePoint earlierStartsUntil {}; ///< until then VMs may carry out starts of earlier holders
--- a/src/libscheduler/pool_plan.cpp
+++ b/src/libscheduler/pool_plan.cpp
@@ -358,10 +358,12 @@
 bool isAwaited(const PoolState& state, const std::string& id)
 {
     const auto vm = state.vms.find(id);
-    return vm == state.vms.end() ? !state.removedVms.contains(id) : !vm->second.hasReported;
+    if (vm == state.vms.end())
+        return !state.removedVms.contains(id);
+    return !vm->second.hasReported || state.vmsWithUnlistedEnds.contains(id);
 }
 
-/// Moves PoolState::firstAwaitedVm past the VMs that have reported.
+/// Moves PoolState::firstAwaitedVm past the VMs that have reported all their ends.
 void updateAwaitedVms(PoolState& state)
 {
     if (!state.platformVms || state.haveAllVmsReported)
@@ -394,6 +396,8 @@
 
 bool isRecoveryComplete(const PoolState& state, TimePoint now)
 {
+    if (!state.vmsWithUnlistedEnds.empty())
+        return false;
     if (now >= state.recoveryDeadline || state.haveAllVmsReported)
         return true;
     return state.platformVms
--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -283,6 +283,16 @@
         vm.leaseUntil = std::max(vm.leaseUntil, report.vmClock + limits.maxVmLease);
 }
 
+/// Updates PoolState::vmsWithUnlistedEnds. The VM lists the rest of its ends once this holder has
+/// acknowledged the first ones.
+void recordUnlistedEnds(PoolState& state, const VmState& vm, const VmReport& report, TimePoint now)
+{
+    if (report.ended.size() < maxListedEnds)
+        state.vmsWithUnlistedEnds.erase(vm.entry.id);
+    else if (!vm.hasReported && now < state.recoveryDeadline && !state.haveAllVmsReported)
+        state.vmsWithUnlistedEnds.insert(vm.entry.id);
+}
+
 /// Releases runs that the VM does not list any more. Before the heartbeat was sent, it must have confirmed
 /// the run, or its stop, after which a delayed start command can no longer take effect.
 void releaseMissing(
@@ -328,6 +338,7 @@
     else if (isRestarted)
         requireNewToken(vm); // the new boot has seen no token, and its clock is far behind the ends of leases
     recordUnknownLease(vm, report, state, sentAt, now);
+    recordUnlistedEnds(state, vm, report, now);
     vm.bootTime = report.bootTime;
     vm.earlierBoots.erase(vm.bootTime);
     vm.isUnresponsive = vm.hasLeaseExpired = false;
--- a/src/libscheduler/pool_state.cpp
+++ b/src/libscheduler/pool_state.cpp
@@ -583,6 +583,7 @@
         if (!vm.hasLeaseExpired && !vm.isRegistered && !vm.entry.draining && !vm.isEvacuating)
             attributeCrash(state, vm, {}, TimePoint::max(), vm.hasEnded);
         vm.hasLeaseExpired = true;
+        state.vmsWithUnlistedEnds.erase(id);
         releaseExpiredRuns(state, vm, now);
         fenceUnsettledStarts(state, id, now);
     }
@@ -593,6 +594,7 @@
 void forgetVm(PoolState& state, const std::string& id, VmState& vm, TimePoint now)
 {
     state.removedVms[id] = now + state.limits.maxCommandDelay;
+    state.vmsWithUnlistedEnds.erase(id);
     removeRoom(state, vm);
     removeVisits(state, vm);
     removeLoad(state, vm);
