--- a/src/libscheduler/takeover_report_test.cpp
+++ b/src/libscheduler/takeover_report_test.cpp
@@ -151,4 +151,34 @@
     BOOST_TEST((*removed <= longest + 200ms));
 }
 
+// An earlier holder had heard that the task's first run had failed, had started the second one and was lost
+// before it recorded the failure. The second run failed too, and a third one was started, one more than the
+// queue allows.
+BOOST_AUTO_TEST_CASE(failedTaskWaitsForVmsThatMayHaveEarlierFailuresOfIt)
+{
+    submit("j1", { makeStep(1) }, true);
+    const TaskId id { "j1", 0, 0, 0 };
+    reportLists("v1", { { id, 2, "", 50, 0 } }, {});
+    reportLists("v1", {}, { { 1, id, 2, EndKind::Failed, "" } });
+    BOOST_TEST(starts().empty());
+    const PoolState before = state;
+    reportLists("v2", {}, { { 1, id, 1, EndKind::Failed, "" } });
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Failed));
+    BOOST_TEST(starts().empty());
+    state = before;
+    reportLists("v2", {}, {});
+    BOOST_TEST(starts().size() == 1U);
+}
+
+// A run that was listed and has been stopped, or lost, is no failure: the next one needs no other VM's
+// report.
+BOOST_AUTO_TEST_CASE(stoppedTaskThatWasListedDoesNotWaitForOtherVms)
+{
+    submit("j1", { makeStep(1) }, true);
+    const TaskId id { "j1", 0, 0, 0 };
+    reportLists("v1", { { id, 2, "", 50, 0 } }, {});
+    reportLists("v1", {}, { { 1, id, 2, EndKind::Stopped, "" } });
+    BOOST_TEST(starts().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
