The end of a later run counts although an earlier one of the task was adopted

Cause: applyEnd() took a run of the task on another VM as the newer one, passed over the end and let it be acknowledged. After a takeover it may be the earlier one: an earlier holder had given up a start that its VM then carried out late, the next run ended as done elsewhere, and the new holder heard of the late run first and adopted it. Once that run failed or was lost, the task was started again.

Ruled out: the other order. The end is applied first then, and the late run is an orphan, which is stopped. Within one holder's time the late run is an orphan too, since the task has a run. An end as done of an earlier run while a later one has the task is still passed over.

Change: an end as done of a run with a higher number than that of the task's run finishes the task, or its gang; the other run is stopped. Long-running tasks go on.

Evidence: endOfALaterRunThanTheAdoptedOneCounts and endOfALaterRunOfAGangThanTheAdoptedOneCounts fail on the code before (the job isn't completed; the task is started again) and pass now; endOfALaterRunDoesNotEndALongRunningTask passes on both. takeover_report_test and scheduler_test pass.

--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -134,12 +134,18 @@
     const bool isOutdated
         = task->done && isCopyable(step); ///< a failure beside the end that counts is no attempt
     if (!isCurrentRun && task->run) {
-        // A newer run has the task. A failure of this one still counts as an attempt, and the first end of a
-        // task with copies counts.
+        // Another run has the task. A failure of this one still counts as an attempt, and the first end of a
+        // task with copies counts. The other run is the earlier one if an earlier holder had given up its
+        // start, a VM has carried it out late, and this holder has adopted it.
+        const bool isLater = end.run > task->run->number;
+        const bool counts = isCopyable(step) || (isLater && !step.longRunning);
         if (end.kind == EndKind::Failed && !isOutdated)
             failTask(state, job, *task, step, end.run);
-        if (end.kind == EndKind::Done && isCopyable(step)) {
-            finishTask(state, job, end.task, *task, milliseconds(0));
+        if (end.kind == EndKind::Done && counts) {
+            if (step.gang)
+                finishGang(state, job, end.task);
+            else
+                finishTask(state, job, end.task, *task, milliseconds(0));
             completeIfDone(state, job);
         } else if (end.kind == EndKind::Done) {
             state.runEvents.push_back({ vm.entry.id, end.task, end.run, RunEventKind::EndPassedOver });
--- a/src/libscheduler/takeover_report_test.cpp
+++ b/src/libscheduler/takeover_report_test.cpp
@@ -181,4 +181,43 @@
     BOOST_TEST(starts().size() == 1U);
 }
 
+// An earlier holder had given up a start that a VM carried out late, and its next run of the task ended as
+// done. The new holder heard first of the late run, adopted it and passed over the end of the later one,
+// which it acknowledged. When the late run failed, the task was started again.
+BOOST_AUTO_TEST_CASE(endOfALaterRunThanTheAdoptedOneCounts)
+{
+    submit("j1", { makeStep(1) }, true);
+    const TaskId id { "j1", 0, 0, 0 };
+    reportLists("v1", { { id, 1, "", 50, 0 } }, {});
+    BOOST_REQUIRE(runOn(task("j1", 0, 0), "v1"));
+    reportLists("v2", {}, { { 1, id, 2, EndKind::Done, "" } });
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Completed));
+    BOOST_TEST(planStops(state, clock.now()).size() == 1U);
+    reportLists("v1", {}, { { 1, id, 1, EndKind::Failed, "" } });
+    BOOST_TEST(starts().empty());
+}
+
+// One end as done stands for all members of a gang.
+BOOST_AUTO_TEST_CASE(endOfALaterRunOfAGangThanTheAdoptedOneCounts)
+{
+    auto gang = makeStep(2);
+    gang.gang = true;
+    submit("j1", { gang }, true);
+    reportLists("v1", { { { "j1", 0, 0, 0 }, 1, "", 50, 0 } }, {});
+    reportLists("v2", {}, { { 1, { "j1", 0, 0, 0 }, 2, EndKind::Done, "" } });
+    BOOST_TEST((state.jobs.at("j1").state == JobState::Completed));
+}
+
+// Long-running tasks go on however a run ends.
+BOOST_AUTO_TEST_CASE(endOfALaterRunDoesNotEndALongRunningTask)
+{
+    auto step = makeStep(1);
+    step.longRunning = true;
+    submit("j1", { step }, true);
+    reportLists("v1", { { { "j1", 0, 0, 0 }, 1, "", 100, 0 } }, {});
+    reportLists("v2", {}, { { 1, { "j1", 0, 0, 0 }, 2, EndKind::Done, "" } });
+    BOOST_TEST(!task("j1", 0, 0).done);
+    BOOST_TEST(planStops(state, clock.now()).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
