--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -95,6 +95,8 @@
     if (step.longRunning)
         return;
     job.dirty = task.failedRuns.insert(run).second || job.dirty;
+    // Earlier runs may have failed as well, on VMs that have not reported since the takeover.
+    task.wasListed = false;
     markChanged(state, job);
     const auto queue = state.queues.find(job.spec.queue);
     const int limit
@@ -132,12 +134,18 @@
     const bool isOutdated
         = task->done && isCopyable(step); ///< a failure beside the end that counts is no attempt
     if (!isCurrentRun && task->run) {
-        // A newer run has the task. A failure of this one still counts as an attempt, and the first end of a
-        // task with copies counts.
+        // Another run has the task. A failure of this one still counts as an attempt, and the first end of a
+        // task with copies counts. The other run is the earlier one if an earlier holder had given up its
+        // start, a VM has carried it out late, and this holder has adopted it.
+        const bool isLater = end.run > task->run->number;
+        const bool counts = isCopyable(step) || (isLater && !step.longRunning);
         if (end.kind == EndKind::Failed && !isOutdated)
             failTask(state, job, *task, step, end.run);
-        if (end.kind == EndKind::Done && isCopyable(step)) {
-            finishTask(state, job, end.task, *task, milliseconds(0));
+        if (end.kind == EndKind::Done && counts) {
+            if (step.gang)
+                finishGang(state, job, end.task);
+            else
+                finishTask(state, job, end.task, *task, milliseconds(0));
             completeIfDone(state, job);
         } else if (end.kind == EndKind::Done) {
             state.runEvents.push_back({ vm.entry.id, end.task, end.run, RunEventKind::EndPassedOver });
@@ -295,6 +303,16 @@
         vm.leaseUntil = std::max(vm.leaseUntil, report.vmClock + limits.maxVmLease);
 }
 
+/// Updates PoolState::vmsWithUnlistedEnds. The VM lists the rest of its ends once this holder has
+/// acknowledged the first ones.
+void recordUnlistedEnds(PoolState& state, const VmState& vm, const VmReport& report, TimePoint now)
+{
+    if (report.ended.size() < maxListedEnds)
+        state.vmsWithUnlistedEnds.erase(vm.entry.id);
+    else if (!vm.hasReported && now < state.recoveryDeadline && !state.haveAllVmsReported)
+        state.vmsWithUnlistedEnds.insert(vm.entry.id);
+}
+
 /// Releases runs that the VM does not list any more. Before the heartbeat was sent, it must have confirmed
 /// the run, or its stop, after which a delayed start command can no longer take effect.
 void releaseMissing(
@@ -340,6 +358,7 @@
     else if (isRestarted)
         requireNewToken(vm); // the new boot has seen no token, and its clock is far behind the ends of leases
     recordUnknownLease(vm, report, state, sentAt, now);
+    recordUnlistedEnds(state, vm, report, now);
     vm.bootTime = report.bootTime;
     vm.earlierBoots.erase(vm.bootTime);
     vm.isUnresponsive = vm.hasLeaseExpired = false;
