--- a/src/libscheduler/takeover_list_test.cpp
+++ b/src/libscheduler/takeover_list_test.cpp
@@ -118,6 +118,17 @@
     BOOST_TEST(starts().empty());
 }
 
+// An entry that names no VM adds none to wait for, so a VM whose entry can't be read is known by its machine.
+BOOST_AUTO_TEST_CASE(vmOfAMachineIsWaitedForWithoutARegistration)
+{
+    report("v2");
+    listMachinesOf({ "v1", "v2", "v3" });
+    BOOST_TEST((findAwaitedVms(state) == std::vector<std::string> { "v3" }));
+    BOOST_TEST(starts().empty());
+    addVm("v3");
+    BOOST_TEST(starts().size() == 1U);
+}
+
 // Registrations remain for seconds after a move, maintenance or crash, and recovery took as long.
 BOOST_AUTO_TEST_CASE(vmWhoseMachineRunsItNoLongerDoesNotDelayRecovery)
 {
--- a/testsuite/fleet_config/odd_entries_test.cpp
+++ b/testsuite/fleet_config/odd_entries_test.cpp
@@ -94,7 +94,8 @@
 std::string vmRow(const std::string& address, const std::string& more)
 {
     return R"({"service":"pricing","addr":")" + address + R"(","state":"ready","machine":"mx","zone":"east",)"
-        + R"("labels":["a","r1"])" + more + "}";
+        + R"("version":"v1","slots":8,"cold_left_ms":0,"seq":1,"labels":["a","r1"],)"
+        + R"("capacity":{"cpu":2000,"mem_mb":8192,"gpu":0})" + more + "}";
 }
 
 } // namespace
@@ -111,7 +112,9 @@
         vmRow("127.0.0.1:9", ",\"capacity\":{\"cpu\":9223372036854775807}"),
         vmRow("127.0.0.1:9", ",\"capacity\":{\"cpu\":1000000000000000000,\"mem_mb\":-1}"),
         vmRow("127.0.0.1:0", ""), vmRow("127.0.0.1:65536", ""), vmRow("127.0.0.1:-1", ""),
-        vmRow("127.0.0.1:99999999999999999999", "") };
+        vmRow("127.0.0.1:99999999999999999999", ""),
+        R"({"service":"pricing","addr":"127.0.0.1:9","state":"ready"})",
+        vmRow("127.0.0.1:9", ",\"seq\":null"), vmRow("127.0.0.1:9", ",\"slots\":\"8\"") };
     std::size_t count = logged("vm_row_unreadable");
     for (std::size_t i = 0; i < unreadable.size(); ++i) {
         platform.table().write("servers", "", "odd-" + std::to_string(i), unreadable[i]);
