Finish the task of a repeated command that an earlier coordinator recorded

What callers saw: nothing yet; found by a test. A machine whose accepted command only repeated one that had been carried out before kept its place in the wave for ever if the coordinator was lost after recording the acceptance and before the next machine list.

Cause: detectRepeatedCommands() needs the time of the acceptance, which the next coordinator doesn't have.

Change: for a task that it finds as accepted, the next coordinator takes the time at which it begins.

Evidence: repeatedCommandThatAnEarlierCoordinatorRecordedCounts failed on (wave not reported within 20 s) and passes with this change alone.

--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -57,6 +57,8 @@
         m_committedTasks[machine] = encodeTask(task);
         if (task.state == MachineTaskState::Emptying)
             m_unansweredAt[machine] = m_context.clock.now(); // the earlier coordinator may have sent it
+        else
+            m_commandAcceptedAt[machine] = m_context.clock.now(); // at the latest
         // Until the first list that contains it.
         const bool isMove = task.action == MachineAction::Move;
         m_state.machines[machine]
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -294,6 +294,55 @@
     BOOST_TEST(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
 }
 
+/// Six machines in pool `a`, of which a wave with limit 1 has two. Each command takes time.
+struct TwoOfAWaveFixture : CoordinatorFixture {
+    TwoOfAWaveFixture()
+    {
+        config.pools["a"] = { "a", false, false };
+        for (const char* number : { "1", "2", "3", "4", "5", "6" }) {
+            const auto id = std::string("m") + number;
+            machines.machines[id] = { id, "a", MachineState::Up, std::string("vm-") + number };
+        }
+        machines.takesTime = true;
+        wave.machines = { "m1", "m2" };
+    }
+
+    /// Shows both machines as empty for the coordinator's first tasks.
+    void reportEmpty()
+    {
+        PoolLoad load;
+        const auto term = std::to_string(coordinator->acquiredVersion());
+        load.empty = { { "m1", term + ".1" }, { "m2", term + ".2" } };
+        fleetRows.apply({ rows::poolPart("a"), std::string(loadKey), encodeLoad(load), 1 });
+    }
+
+    void waitForLists(int count)
+    {
+        const int earlierLists = machines.lists;
+        BOOST_REQUIRE(loop.runUntil([&] { return machines.lists >= earlierLists + count; }, 20s));
+    }
+
+    static VmRegistration registrationOf(const std::string& machine, const std::string& id)
+    {
+        VmRegistration vm;
+        vm.id = id;
+        vm.machine = machine;
+        vm.pool = "a";
+        return vm;
+    }
+};
+
+// A coordinator recorded that a command was accepted, which an earlier one had had carried out already, and
+// was lost. The next coordinator waited for ever for another VM.
+BOOST_FIXTURE_TEST_CASE(repeatedCommandThatAnEarlierCoordinatorRecordedCounts, TwoOfAWaveFixture)
+{
+    const MachineTask task { "m1", MachineAction::Maintain, 1, "", "vm-1", MachineTaskState::Ordered, "0.1" };
+    fleetRows.apply({ rows::poolPart(coordinatorPool), rows::machineKey("m1"), encodeTask(task), 1 });
+    wave.machines = { "m1" };
+    begin();
+    BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 20s));
+}
+
 /// Of two machines in a wave with limit 1, the first has crashed after an unanswered command.
 struct LateCommandFixture : CoordinatorFixture {
     LateCommandFixture()
