Ignore the registration of the VM that a machine's command has ended

Cause: the old VM's last write of its registration arrived after the response to the command. applyVm() marked the machine as up with its old VM, the removal of the entry marked it as down, and isAbandoned() takes a machine that is down as given up. A VM that drains did it without the removal.

Ruled out by reading: an earlier list (ignored by time) and the count of the limit. isAbandoned() stays: without it a machine that crashes after its maintenance would keep its place for ever.

Change: an accepted task ignores the registrations of its oldVm (wasVmBeforeItsTask()), and oldVm becomes the machine's last known VM when the platform accepts the command, as the machine may restart with another between two attempts. It is part of the task's row, so the next coordinator has it.

--- a/src/include/damaskworks/fleet_plan.h
+++ b/src/include/damaskworks/fleet_plan.h
@@ -77,7 +77,9 @@
     MachineAction action = MachineAction::Maintain;
     std::int64_t wave = 0; ///< Maintain only
     std::string toPool; ///< Move only
-    std::string oldVm; ///< VM of the machine when the task began; empty: none
+    /// The machine's last known VM before the platform accepted the command; until then, its VM when the task
+    /// began. The command has ended it, unless it repeated one that was carried out before. Empty: none.
+    std::string oldVm;
     MachineTaskState state = MachineTaskState::Emptying;
     std::string id; ///< unique among all tasks
     bool operator==(const MachineTask&) const = default;
@@ -157,6 +159,9 @@
 std::set<std::string> poolsToEvacuate(const FleetState& state);
 /// Whether the machine is evacuated, so that the coordinator may send the command for the task.
 bool maySendCommand(const FleetState& state, const MachineTask& task);
+/// Whether the registration is that of the VM which an accepted machine task has ended. Such a VM's last
+/// write may arrive after the response to the command, and its entry may stay for some heartbeat intervals.
+bool wasVmBeforeItsTask(const FleetState& state, const VmRegistration& vm);
 /// Whether the registration can be that of its machine's VM: its pool exists, and is the one in which a
 /// machine task that the platform has accepted leaves the machine. Others write entries into the registry,
 /// too.
--- a/src/libfleet/machine_coordinator.cpp
+++ b/src/libfleet/machine_coordinator.cpp
@@ -113,6 +113,12 @@
     m_unregisteredVms.erase(vm.id);
     if (!m_begun || vm.machine.empty())
         return;
+    if (wasVmBeforeItsTask(m_state, vm)) {
+        if (m_ignoredVms.insert(vm.id).second)
+            logEvent(LogLevel::Info, "old_vm_of_machine_ignored",
+                { { "vm", vm.id }, { "machine", vm.machine }, { "pool", vm.pool } });
+        return;
+    }
     if (!canBeVmOfItsMachine(m_state, vm)) {
         // Such an entry is written again and again, so only its first one is logged.
         if (m_ignoredVms.insert(vm.id).second)
@@ -332,6 +338,9 @@
     m_commandAcceptedAt[machine] = m_context.clock.now();
     found->second.state = MachineTaskState::Ordered;
     auto& known = m_state.machines[machine];
+    // Between an unanswered attempt and this one the machine may have restarted with another VM.
+    if (!known.vm.empty())
+        found->second.oldVm = known.vm;
     known.state
         = found->second.action == MachineAction::Move ? MachineState::Moving : MachineState::Maintenance;
     known.vm.clear();
--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -332,6 +332,63 @@
     }
 };
 
+// The last write of the old VM's registration arrived after the response to the command. The machine counted
+// as up, and, once the entry was removed, as crashed: the next maintenance began (review/9).
+BOOST_FIXTURE_TEST_CASE(lateRegistrationOfTheOldVmEndsNoMaintenance, TwoOfAWaveFixture)
+{
+    begin();
+    reportEmpty();
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    waitForLists(2); // the response has come
+    const auto oldVm = registrationOf("m1", "vm-1");
+    coordinator->applyVm(oldVm);
+    coordinator->removeVm(oldVm);
+    coordinator->reconcile();
+    waitForLists(2);
+    BOOST_TEST(machines.maintenanceCommands == 1);
+    machines.bringUp("m1");
+    coordinator->applyVm(registrationOf("m1", machines.machines["m1"].vm));
+    BOOST_TEST(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
+}
+
+// As above, and the old VM was draining, so its registration alone shows the machine as down.
+BOOST_FIXTURE_TEST_CASE(lateRegistrationOfADrainingVmEndsNoMaintenance, TwoOfAWaveFixture)
+{
+    begin();
+    reportEmpty();
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    waitForLists(2); // the response has come
+    auto oldVm = registrationOf("m1", "vm-1");
+    oldVm.draining = true;
+    coordinator->applyVm(oldVm);
+    coordinator->reconcile();
+    waitForLists(2);
+    BOOST_TEST(machines.maintenanceCommands == 1);
+}
+
+// A command got no answer, and the machine restarted with another VM before the next attempt, which ended
+// that VM. Its last registration was taken for that of the VM after the maintenance.
+BOOST_FIXTURE_TEST_CASE(lateRegistrationOfAVmThatTheTaskDidNotBeginWithEndsNoMaintenance, TwoOfAWaveFixture)
+{
+    machines.takesTime = false;
+    machines.ignoresCommands = machines.losesResponses = true;
+    begin();
+    reportEmpty();
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    const auto restarted = registrationOf("m1", "vm-1-restarted");
+    machines.machines["m1"].vm = restarted.id;
+    coordinator->applyVm(restarted);
+    machines.ignoresCommands = machines.losesResponses = false;
+    machines.takesTime = true;
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
+    waitForLists(2); // the response has come
+    coordinator->applyVm(restarted);
+    coordinator->reconcile();
+    waitForLists(2);
+    BOOST_TEST(machines.maintenanceCommands == 2);
+    BOOST_TEST(machines.commanded.size() == 1U);
+}
+
 // A coordinator recorded that a command was accepted, which an earlier one had had carried out already, and
 // was lost. The next coordinator waited for ever for another VM.
 BOOST_FIXTURE_TEST_CASE(repeatedCommandThatAnEarlierCoordinatorRecordedCounts, TwoOfAWaveFixture)
--- a/src/libscheduler/fleet_plan.cpp
+++ b/src/libscheduler/fleet_plan.cpp
@@ -283,6 +283,13 @@
     return empty != load->second.empty.end() && empty->second == task.id;
 }
 
+bool wasVmBeforeItsTask(const FleetState& state, const VmRegistration& vm)
+{
+    const auto task = state.tasks.find(vm.machine);
+    return task != state.tasks.end() && task->second.state == MachineTaskState::Ordered
+        && task->second.oldVm == vm.id;
+}
+
 bool canBeVmOfItsMachine(const FleetState& state, const VmRegistration& vm)
 {
     if (!state.config.pools.contains(vm.pool))
