--- a/src/libfleet/machine_coordinator_test.cpp
+++ b/src/libfleet/machine_coordinator_test.cpp
@@ -294,6 +294,112 @@
     BOOST_TEST(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
 }
 
+/// Six machines in pool `a`, of which a wave with limit 1 has two. Each command takes time.
+struct TwoOfAWaveFixture : CoordinatorFixture {
+    TwoOfAWaveFixture()
+    {
+        config.pools["a"] = { "a", false, false };
+        for (const char* number : { "1", "2", "3", "4", "5", "6" }) {
+            const auto id = std::string("m") + number;
+            machines.machines[id] = { id, "a", MachineState::Up, std::string("vm-") + number };
+        }
+        machines.takesTime = true;
+        wave.machines = { "m1", "m2" };
+    }
+
+    /// Shows both machines as empty for the coordinator's first tasks.
+    void reportEmpty()
+    {
+        PoolLoad load;
+        const auto term = std::to_string(coordinator->acquiredVersion());
+        load.empty = { { "m1", term + ".1" }, { "m2", term + ".2" } };
+        fleetRows.apply({ rows::poolPart("a"), std::string(loadKey), encodeLoad(load), 1 });
+    }
+
+    void waitForLists(int count)
+    {
+        const int earlierLists = machines.lists;
+        BOOST_REQUIRE(loop.runUntil([&] { return machines.lists >= earlierLists + count; }, 20s));
+    }
+
+    static VmRegistration registrationOf(const std::string& machine, const std::string& id)
+    {
+        VmRegistration vm;
+        vm.id = id;
+        vm.machine = machine;
+        vm.pool = "a";
+        return vm;
+    }
+};
+
+// The last write of the old VM's registration arrived after the response to the command. The machine counted
+// as up, and, once the entry was removed, as crashed: the next maintenance began (review/9).
+BOOST_FIXTURE_TEST_CASE(lateRegistrationOfTheOldVmEndsNoMaintenance, TwoOfAWaveFixture)
+{
+    begin();
+    reportEmpty();
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    waitForLists(2); // the response has come
+    const auto oldVm = registrationOf("m1", "vm-1");
+    coordinator->applyVm(oldVm);
+    coordinator->removeVm(oldVm);
+    coordinator->reconcile();
+    waitForLists(2);
+    BOOST_TEST(machines.maintenanceCommands == 1);
+    machines.bringUp("m1");
+    coordinator->applyVm(registrationOf("m1", machines.machines["m1"].vm));
+    BOOST_TEST(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
+}
+
+// As above, and the old VM was draining, so its registration alone shows the machine as down.
+BOOST_FIXTURE_TEST_CASE(lateRegistrationOfADrainingVmEndsNoMaintenance, TwoOfAWaveFixture)
+{
+    begin();
+    reportEmpty();
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    waitForLists(2); // the response has come
+    auto oldVm = registrationOf("m1", "vm-1");
+    oldVm.draining = true;
+    coordinator->applyVm(oldVm);
+    coordinator->reconcile();
+    waitForLists(2);
+    BOOST_TEST(machines.maintenanceCommands == 1);
+}
+
+// A command got no answer, and the machine restarted with another VM before the next attempt, which ended
+// that VM. Its last registration was taken for that of the VM after the maintenance.
+BOOST_FIXTURE_TEST_CASE(lateRegistrationOfAVmThatTheTaskDidNotBeginWithEndsNoMaintenance, TwoOfAWaveFixture)
+{
+    machines.takesTime = false;
+    machines.ignoresCommands = machines.losesResponses = true;
+    begin();
+    reportEmpty();
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 1; }, 20s));
+    const auto restarted = registrationOf("m1", "vm-1-restarted");
+    machines.machines["m1"].vm = restarted.id;
+    coordinator->applyVm(restarted);
+    machines.ignoresCommands = machines.losesResponses = false;
+    machines.takesTime = true;
+    BOOST_REQUIRE(loop.runUntil([&] { return machines.maintenanceCommands == 2; }, 20s));
+    waitForLists(2); // the response has come
+    coordinator->applyVm(restarted);
+    coordinator->reconcile();
+    waitForLists(2);
+    BOOST_TEST(machines.maintenanceCommands == 2);
+    BOOST_TEST(machines.commanded.size() == 1U);
+}
+
+// A coordinator recorded that a command was accepted, which an earlier one had had carried out already, and
+// was lost. The next coordinator waited for ever for another VM.
+BOOST_FIXTURE_TEST_CASE(repeatedCommandThatAnEarlierCoordinatorRecordedCounts, TwoOfAWaveFixture)
+{
+    const MachineTask task { "m1", MachineAction::Maintain, 1, "", "vm-1", MachineTaskState::Ordered, "0.1" };
+    fleetRows.apply({ rows::poolPart(coordinatorPool), rows::machineKey("m1"), encodeTask(task), 1 });
+    wave.machines = { "m1" };
+    begin();
+    BOOST_TEST(loop.runUntil([&] { return isReportedDone(); }, 20s));
+}
+
 /// Of two machines in a wave with limit 1, the first has crashed after an unanswered command.
 struct LateCommandFixture : CoordinatorFixture {
     LateCommandFixture()
