An end of a later run shows that a listed first run was not the task's only one

Cause: a start that an earlier holder had given up may be carried out late, and be listed as the task's first run to the next holder, while that holder had heard the end of the run after it, and had started the next step. TaskState::wasUnfinished stayed set.

Change: the end of a later run resets it. A later run that has not ended, or whose VM is silent, leaves no such sign; what rests on it is that a given-up start is void by its lease and its fencing token.

Evidence: stepAfterATaskWithALaterRunIsNotStartedAgainAfterATakeover fails without the change (one start planned) and passes with it.

--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -139,6 +139,8 @@
         // start, a VM has carried it out late, and this holder has adopted it.
         const bool isLater = end.run > task->run->number;
         const bool counts = isCopyable(step) || (isLater && !step.longRunning);
+        if (isLater)
+            task->wasUnfinished = false; // its first run was not the only one
         if (end.kind == EndKind::Failed && !isOutdated)
             failTask(state, job, *task, step, end.run);
         if (end.kind == EndKind::Done && counts) {
--- a/src/libscheduler/takeover_start_test.cpp
+++ b/src/libscheduler/takeover_start_test.cpp
@@ -99,6 +99,16 @@
     BOOST_TEST((state.jobs.at("j1").state == JobState::Completed));
 }
 
+// The listed first run was a start that an earlier holder had given up. That holder had heard the end of the
+// run after it, and had started the next step on v3.
+BOOST_AUTO_TEST_CASE(stepAfterATaskWithALaterRunIsNotStartedAgainAfterATakeover)
+{
+    submitChain({ makeStep(1), makeStep(1) });
+    reportRun("v1", 0, 1);
+    reportEnd("v2", 0, 2);
+    BOOST_TEST(starts().empty());
+}
+
 // Steps whose predecessors no earlier holder can have finished waited for the silent VM.
 BOOST_AUTO_TEST_CASE(stepsAfterAFirstRunDoNotWaitForASilentVm)
 {
