A task whose first run has failed since a takeover starts again at once

What callers saw: possibly a wait of up to the longest lease after a takeover.

Cause: since each failure resets TaskState::wasListed, so that the next attempt waits for VMs that may have earlier failures. Before the first run there is none.

Change: the failure of a first run leaves it set.

--- a/src/libscheduler/pool_reports.cpp
+++ b/src/libscheduler/pool_reports.cpp
@@ -96,7 +96,8 @@
         return;
     job.dirty = task.failedRuns.insert(run).second || job.dirty;
     // Earlier runs may have failed as well, on VMs that have not reported since the takeover.
-    task.wasListed = false;
+    if (run != firstRunNumber)
+        task.wasListed = false;
     markChanged(state, job);
     const auto queue = state.queues.find(job.spec.queue);
     const int limit
--- a/src/libscheduler/takeover_report_test.cpp
+++ b/src/libscheduler/takeover_report_test.cpp
@@ -170,6 +170,16 @@
     BOOST_TEST(starts().size() == 1U);
 }
 
+// No run before the first one can have failed, so the next one needs no other VM's report.
+BOOST_AUTO_TEST_CASE(taskWhoseFirstRunFailedDoesNotWaitForOtherVms)
+{
+    submit("j1", { makeStep(1) }, true);
+    const TaskId id { "j1", 0, 0, 0 };
+    reportLists("v1", { { id, firstRunNumber, "", 50, 0 } }, {});
+    reportLists("v1", {}, { { 1, id, firstRunNumber, EndKind::Failed, "" } });
+    BOOST_TEST(starts().size() == 1U);
+}
+
 // A run that was listed and has been stopped, or lost, is no failure: the next one needs no other VM's
 // report.
 BOOST_AUTO_TEST_CASE(stoppedTaskThatWasListedDoesNotWaitForOtherVms)
